Add the build skeleton, the design page and the contracts of the parts

The page and the headers under src/ fix the interfaces that the parts are written against: link messages, events and commands of the two decision cores, router, quotas, settings and telemetry. Nothing serves yet.

Weighed: C++20 was ruled out because websocketpp 0.8.2 does not compile with it.

--- /dev/null
+++ b/src/config/Configuration.h
@@ -0,0 +1,83 @@
+// The configuration that operators declare, after all checks.
+#pragma once
+
+#include "core/Ids.h"
+#include "core/Messages.h"
+#include "core/RuntimeClock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// A set of endpoints that answer the same requests.
+struct ServiceConfig {
+  /// Deadline of a request that names none.
+  Duration m_DefaultDeadline{std::chrono::seconds(10)};
+  /// Longest deadline that a caller may ask for.
+  Duration m_MaxDeadline{std::chrono::seconds(120)};
+};
+
+/// A group that shares a quota.
+struct TeamConfig {
+  /// Task starts a second over all entries; 0 means no limit.
+  std::uint32_t m_StartsPerSecond = 0;
+};
+
+/// How an entry chooses an endpoint.
+struct SharePolicy {};       ///< Own share first, then slots believed free.
+struct RandomPolicy {};      ///< Any endpoint; baseline.
+struct RoundRobinPolicy {};  ///< In turn; baseline.
+struct LeastLoadedPolicy {}; ///< Lowest last report; baseline.
+using RoutingPolicy = std::variant<SharePolicy, RandomPolicy, RoundRobinPolicy,
+                                   LeastLoadedPolicy>;
+
+/// What operators switch between: ordinary days, peaks, maintenance.
+struct Preset {
+  RoutingPolicy m_Routing;
+  /// False refuses all new requests and jobs as not run.
+  bool m_AdmitsWork = true;
+  /// Tasks that may wait at one entry for one service.
+  std::uint32_t m_QueueLimit = 20000;
+  /// Retries allowed for every hundred requests.
+  std::uint32_t m_RetryPercent = 10;
+  /// True allows a second attempt of a slow idempotent request.
+  bool m_Hedging = false;
+  /// Multiple of the service's usual run time after which to hedge.
+  double m_HedgeAfter = 3.0;
+  /// Tasks that may wait at an agent beyond its slots.
+  std::uint32_t m_AgentQueue = 0;
+  /// Failure domains whose endpoints take no new work.
+  std::vector<std::string> m_DrainedFailureDomains;
+};
+
+/// One checked document.
+struct Configuration {
+  std::map<std::string, ServiceConfig> m_Services;
+  std::map<std::string, TeamConfig> m_Teams;
+  std::map<std::string, Preset> m_Presets;
+};
+
+/// The configuration in force.
+struct ConfigState {
+  ConfigVersion m_Version = 0;
+  /// Log offset up to which this is the state.
+  std::uint64_t m_Offset = 0;
+  /// Invariant: names a preset of m_Configuration.
+  std::string m_PresetName;
+  /// Text that m_Configuration was read from.
+  std::string m_Document;
+  Configuration m_Configuration;
+
+  const Preset &preset() const {
+    return m_Configuration.m_Presets.at(m_PresetName);
+  }
+};
+
+using ConfigStatePtr = std::shared_ptr<const ConfigState>;
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/core/Outcome.h
@@ -0,0 +1,45 @@
+// How an attempt, request or job ended, and why work was refused.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace cyclamencroft {
+
+/// End of a request, job or single task.
+enum class Outcome : std::uint8_t {
+  Completed = 0, ///< Ran once; the whole answer is here.
+  Failed = 1,    ///< Ran and failed; the answer says how.
+  NotRun = 2,    ///< Refused; never started and never will be.
+  Unknown = 3,   ///< May or may not have run; it is not known.
+  Cancelled = 4, ///< The caller cancelled it; parts may have run.
+};
+
+/// Why work was refused without having been started.
+enum class RefusalReason : std::uint8_t {
+  None = 0,
+  NoSlot = 1,              ///< Every slot of the endpoint is busy.
+  Leaving = 2,             ///< The endpoint or agent is leaving.
+  DeadlinePassed = 3,      ///< Too late to start.
+  SequenceRepeated = 4,    ///< The window has seen this sequence.
+  EndpointAbsent = 5,      ///< The endpoint's lease has lapsed.
+  QueueFull = 6,           ///< The entry's queue limit is reached.
+  WaitPastDeadline = 7,    ///< The expected wait is past the deadline.
+  QuotaExceeded = 8,       ///< The team's quota is used up.
+  UnknownService = 9,      ///< The configuration has no such service.
+  UnknownTeam = 10,        ///< The configuration has no such team.
+  NoEndpoint = 11,         ///< No endpoint of the service is connected.
+  SizeFitsNoEndpoint = 12, ///< No endpoint is large enough; can never run.
+  ShuttingDown = 13,       ///< The entry is shutting down.
+  PresetRefuses = 14,      ///< The preset in force takes no new work.
+  NoConfiguration = 15,    ///< The entry has no configuration it may serve.
+  RepeatedKey = 16,        ///< The key is held or was used a short time ago.
+  Cancelled = 17,          ///< Cancelled before it was started.
+  RetryBudgetSpent = 18,   ///< Not run, and no retry is allowed now.
+};
+
+/// Stable lower-case names for logs, metrics and answers.
+std::string_view toString(Outcome Value);
+std::string_view toString(RefusalReason Value);
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/core/TraceContext.h
@@ -0,0 +1,16 @@
+// W3C trace context that travels with a request through every hop.
+#pragma once
+
+#include "core/Ids.h"
+
+#include <cstdint>
+
+namespace cyclamencroft {
+
+/// The trace id is the request's id when the caller brought none.
+struct TraceContext {
+  RequestId m_TraceId;
+  std::uint64_t m_ParentSpanId = 0;
+};
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/EntryCore.h
@@ -0,0 +1,65 @@
+// Decision core of an entry: owns every request and job that the entry has
+// accepted until it is answered. Pure: events in, commands out.
+#pragma once
+
+#include "entry/EntryEvents.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// Identity of the entry and source of its random choices.
+struct EntryOptions {
+  std::string m_EntryId;
+  Incarnation m_Incarnation{};
+  std::string m_FailureDomain;
+  /// Entries named in the settings, this one included.
+  std::uint32_t m_ConfiguredEntries = 1;
+  /// Seeds routing choices and span ids, so that a session replays exactly.
+  std::uint64_t m_Seed = 1;
+};
+
+/// Numbers for status and metrics; counters only grow.
+struct EntryStatus {
+  bool m_Ready = false;
+  ConfigVersion m_ConfigVersion = 0;
+  std::string m_Preset;
+  std::uint64_t m_Agents = 0;
+  std::uint64_t m_Queued = 0;
+  std::uint64_t m_Outstanding = 0;
+  std::uint64_t m_Requests = 0;
+  std::uint64_t m_Jobs = 0;
+  std::uint64_t m_Dispatches = 0;
+  std::uint64_t m_Results = 0;
+  std::uint64_t m_Refusals = 0;
+  std::uint64_t m_Retries = 0;
+  std::uint64_t m_Hedges = 0;
+  std::uint64_t m_UnknownOutcomes = 0;
+  std::uint64_t m_ControlMessages = 0;
+};
+
+class EntryCore {
+public:
+  explicit EntryCore(EntryOptions Options);
+  ~EntryCore();
+  EntryCore(const EntryCore &) = delete;
+  EntryCore &operator=(const EntryCore &) = delete;
+
+  /// Consumes one event and appends the resulting commands to \p Commands.
+  /// \p Now never goes back between calls.
+  void handle(TimePoint Now, const EntryEvent &Event,
+              std::vector<EntryCommand> &Commands);
+
+  /// When a Tick is due; TimePoint::max() when none is.
+  TimePoint nextWakeup() const;
+
+  EntryStatus status() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/settings/SettingsReader.h
@@ -0,0 +1,26 @@
+// Reads and checks the settings files of the daemons.
+#pragma once
+
+#include "settings/AgentSettings.h"
+#include "settings/EntrySettings.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// Every fault of a settings file: "file: key = value: what would be valid".
+struct SettingsFaults {
+  std::vector<std::string> m_Faults;
+};
+
+/// Fails with a SettingsFaults error object that lists all faults at once.
+boost::leaf::result<EntrySettings> readEntrySettings(const std::string &File);
+boost::leaf::result<AgentSettings> readAgentSettings(const std::string &File);
+
+/// Markdown reference of every key with unit, default and limits.
+std::string settingsReference();
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/telemetry/Traceparent.h
@@ -0,0 +1,17 @@
+// The W3C `traceparent` header.
+#pragma once
+
+#include "core/TraceContext.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamencroft {
+
+/// Nothing when \p Header is malformed; callers then start a new trace.
+std::optional<TraceContext> parseTraceparent(std::string_view Header);
+
+std::string formatTraceparent(const TraceContext &Trace);
+
+} // namespace cyclamencroft
