--- a/src/telemetry/EventLog.h
+++ b/src/telemetry/EventLog.h
@@ -5,6 +5,7 @@
 
 #include <boost/core/span.hpp>
 
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
                     boost::span<const LogField> Fields);
 };
 
+/// `process=... event=... key=value ...`, as EventLog::write() logs it.
+std::string formatEvent(std::string_view Process, std::string_view Event,
+                        boost::span<const LogField> Fields);
+
 /// Shorthand for a list of fields at the place of the call.
 inline void logEvent(LogLevel Level, std::string_view Event,
                      std::initializer_list<LogField> Fields) {
