Read and check settings of entries and agents

Cause: daemons must report every fault of their settings at start, with file, key, value and what would be valid.

Faults read "file:line: key = value: must be ...".

Ruled out: a check function for each daemon next to a hand-written reference, since the two drift apart; resolving host names, since processes communicate by IP address.

id, failure_domain, log.address (entry) and entries (agent) are required; rack is optional.

--- /dev/null
+++ b/src/settings/KeyTable.cpp
@@ -0,0 +1,37 @@
+// Text of key tables for the reference and for fault messages.
+#include "settings/KeyTable.h"
+
+#include <sstream>
+
+namespace cyclamencroft {
+namespace {
+
+std::string cell(const std::string &Text) { return Text.empty() ? "-" : Text; }
+
+} // namespace
+
+std::string showNumber(double Value) {
+  std::ostringstream Text;
+  Text.precision(12);
+  Text << Value;
+  return Text.str();
+}
+
+std::string markdownTable(boost::span<const KeyDescription> Keys) {
+  std::string Text = "| key | type | unit | default | limits | meaning |\n"
+                     "|---|---|---|---|---|---|\n";
+  for (const KeyDescription &Key : Keys)
+    Text += "| `" + Key.m_Name + "` | " + Key.m_Type + " | " +
+            cell(Key.m_Unit) + " | " + Key.m_Default + " | " + Key.m_Valid +
+            " | " + Key.m_Meaning + " |\n";
+  return Text;
+}
+
+std::string listOfNames(const std::vector<KeyDescription> &Keys) {
+  std::string Text;
+  for (const KeyDescription &Key : Keys)
+    Text += (Text.empty() ? "" : ", ") + Key.m_Name;
+  return Text;
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/settings/KeyTable.h
@@ -0,0 +1,200 @@
+// Tables of keys: each row checks a value of a TOML document, stores it and
+// documents itself, so that checks and reference can't drift apart.
+#pragma once
+
+#include "settings/TextFormat.h"
+#include "settings/TomlDocument.h"
+
+#include <boost/core/span.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// What the reference says about one key.
+struct KeyDescription {
+  std::string m_Name;
+  std::string m_Type;
+  std::string m_Unit;
+  std::string m_Default;
+  /// Limits in words; also the end of a fault message.
+  std::string m_Valid;
+  std::string m_Meaning;
+};
+
+/// One row of a table that fills a \p T.
+template <class T> struct KeyRule {
+  KeyDescription m_Description;
+  bool m_Required = false;
+  /// Stores a valid value; false when the value is not valid.
+  std::function<bool(const KeyValue &, T &)> m_Store;
+};
+
+/// Marks a row whose key must be present.
+template <class T> KeyRule<T> required(KeyRule<T> Rule) {
+  Rule.m_Required = true;
+  Rule.m_Description.m_Default = "required";
+  return Rule;
+}
+
+/// Texts that numbers have in the reference and in fault messages.
+std::string showNumber(double Value);
+
+template <class T>
+KeyRule<T> textKey(std::string Name, std::string T::*Member, TextFormat Format,
+                   std::string Meaning) {
+  const auto Store = [Member, Format](const KeyValue &Value, T &Target) {
+    const auto *Text = std::get_if<std::string>(&Value);
+    if (!Text || !Format.m_Accepts(*Text))
+      return false;
+    Target.*Member = *Text;
+    return true;
+  };
+  return {{std::move(Name), "text", "", '"' + T{}.*Member + '"',
+           std::string(Format.m_Valid), std::move(Meaning)},
+          false,
+          Store};
+}
+
+/// A list of at least \p Lowest distinct texts.
+template <class T>
+KeyRule<T> textListKey(std::string Name, std::vector<std::string> T::*Member,
+                       TextFormat Format, std::size_t Lowest,
+                       std::string Meaning) {
+  const auto Store = [Member, Format, Lowest](const KeyValue &Value,
+                                              T &Target) {
+    const auto *List = std::get_if<std::vector<std::string>>(&Value);
+    if (!List || List->size() < Lowest)
+      return false;
+    std::set<std::string> Distinct;
+    for (const std::string &Text : *List)
+      if (!Format.m_Accepts(Text) || !Distinct.insert(Text).second)
+        return false;
+    Target.*Member = *List;
+    return true;
+  };
+  return {{std::move(Name), "list of text", "", "[]",
+           std::to_string(Lowest) + " or more distinct texts, each " +
+               std::string(Format.m_Valid),
+           std::move(Meaning)},
+          false,
+          Store};
+}
+
+template <class T>
+KeyRule<T> booleanKey(std::string Name, bool T::*Member, std::string Meaning) {
+  const auto Store = [Member](const KeyValue &Value, T &Target) {
+    const auto *Flag = std::get_if<bool>(&Value);
+    if (Flag)
+      Target.*Member = *Flag;
+    return Flag != nullptr;
+  };
+  return {{std::move(Name), "boolean", "", T{}.*Member ? "true" : "false",
+           "true or false", std::move(Meaning)},
+          false,
+          Store};
+}
+
+/// Limits of a number, both included, and its unit.
+template <class N> struct NumberRange {
+  N m_Lowest;
+  N m_Highest;
+  std::string_view m_Unit;
+
+  std::string describe(std::string_view Kind) const {
+    return std::string(Kind) + " from " + showNumber(m_Lowest) + " to " +
+           showNumber(m_Highest);
+  }
+};
+
+template <class T>
+KeyRule<T> integerKey(std::string Name, std::uint32_t T::*Member,
+                      NumberRange<std::uint32_t> Range, std::string Meaning) {
+  const auto Store = [Member, Range](const KeyValue &Value, T &Target) {
+    const auto *Number = std::get_if<std::int64_t>(&Value);
+    if (!Number || *Number < Range.m_Lowest || *Number > Range.m_Highest)
+      return false;
+    Target.*Member = static_cast<std::uint32_t>(*Number);
+    return true;
+  };
+  return {{std::move(Name), "integer", std::string(Range.m_Unit),
+           showNumber(T{}.*Member), Range.describe("an integer"),
+           std::move(Meaning)},
+          false,
+          Store};
+}
+
+template <class T>
+KeyRule<T> realKey(std::string Name, double T::*Member,
+                   NumberRange<double> Range, std::string Meaning) {
+  const auto Store = [Member, Range](const KeyValue &Value, T &Target) {
+    double Number = 0;
+    if (const auto *Whole = std::get_if<std::int64_t>(&Value))
+      Number = static_cast<double>(*Whole);
+    else if (const auto *Real = std::get_if<double>(&Value))
+      Number = *Real;
+    else
+      return false;
+    // Written so that not-a-number is rejected as well.
+    if (!(Number >= Range.m_Lowest && Number <= Range.m_Highest))
+      return false;
+    Target.*Member = Number;
+    return true;
+  };
+  return {{std::move(Name), "number", std::string(Range.m_Unit),
+           showNumber(T{}.*Member), Range.describe("a number"),
+           std::move(Meaning)},
+          false,
+          Store};
+}
+
+/// Descriptions of all rows of a table, for the reference.
+template <class T>
+std::vector<KeyDescription> describeKeys(const std::vector<KeyRule<T>> &Rules) {
+  std::vector<KeyDescription> Descriptions;
+  Descriptions.reserve(Rules.size());
+  for (const KeyRule<T> &Rule : Rules)
+    Descriptions.push_back(Rule.m_Description);
+  return Descriptions;
+}
+
+/// Markdown table of \p Keys.
+std::string markdownTable(boost::span<const KeyDescription> Keys);
+
+/// What an unknown key gets as "what would be valid".
+std::string listOfNames(const std::vector<KeyDescription> &Keys);
+
+/// Checks \p Values against \p Rules and stores them in \p Target; adds every
+/// fault found. Paths are taken from \p Depth on; \p Where names the table.
+template <class T>
+void applyKeys(const std::vector<KeyRule<T>> &Rules,
+               boost::span<const DocumentValue> Values, std::size_t Depth,
+               const std::string &Where, T &Target, FaultList &Faults) {
+  std::set<std::string> Present;
+  for (const DocumentValue &Value : Values) {
+    const std::string Name = joinPath(Value.m_Path, Depth);
+    if (Name.empty() || Value.isEmptyTableAbove(describeKeys(Rules), Depth))
+      continue;
+    const KeyRule<T> *Found = nullptr;
+    for (const KeyRule<T> &Rule : Rules)
+      if (Rule.m_Description.m_Name == Name)
+        Found = &Rule;
+    Present.insert(Name);
+    if (!Found)
+      Faults.add(Value, "unknown key; valid keys are " +
+                            listOfNames(describeKeys(Rules)));
+    else if (!Found->m_Store(Value.m_Value, Target))
+      Faults.add(Value, "must be " + Found->m_Description.m_Valid);
+  }
+  for (const KeyRule<T> &Rule : Rules)
+    if (Rule.m_Required && Present.count(Rule.m_Description.m_Name) == 0)
+      Faults.addMissing(Where + Rule.m_Description.m_Name,
+                        "must be " + Rule.m_Description.m_Valid);
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/settings/SettingsReader.cpp
@@ -0,0 +1,99 @@
+// Key tables of the daemons' settings files.
+#include "settings/SettingsReader.h"
+
+#include "settings/KeyTable.h"
+
+namespace cyclamencroft {
+namespace {
+
+const NumberRange<std::uint32_t> EntryCount{1, 256, "entries"};
+const NumberRange<std::uint32_t> ThreadCount{1, 64, "threads"};
+const NumberRange<std::uint32_t> ConnectionCount{1, 65535, "connections"};
+
+std::vector<KeyRule<EntrySettings>> entryKeys() {
+  using S = EntrySettings;
+  return {
+      required(textKey("id", &S::m_Id, NameFormat,
+                       "name of this entry in logs, traces and hellos")),
+      required(textKey("failure_domain", &S::m_FailureDomain, NameFormat,
+                       "failure domain that the entry's host is in")),
+      textListKey("peers", &S::m_Peers, AddressFormat, 0,
+                  "link addresses of peer entries to connect to; of two "
+                  "entries only one needs the other's address"),
+      integerKey("entries", &S::m_Entries, EntryCount,
+                 "entries of the deployment, this one included; quotas are "
+                 "split over them"),
+      textKey("listen.http", &S::m_HttpListen, ListenFormat,
+              "listener for callers and operators; port 0 takes a free one"),
+      textKey("listen.link", &S::m_LinkListen, ListenFormat,
+              "listener for agents and peer entries; port 0 takes a free one"),
+      required(textKey("log.address", &S::m_LogAddress, AddressFormat,
+                       "address of the platform's log")),
+      integerKey("limits.http_threads", &S::m_HttpThreads, ThreadCount,
+                 "threads that read and answer HTTP"),
+      integerKey("limits.max_connections", &S::m_MaxConnections,
+                 ConnectionCount, "open connections on the HTTP listener"),
+      textKey("telemetry.log_file", &S::m_LogFile, AnyFormat,
+              "file of log lines; empty writes to standard error"),
+      textKey("telemetry.span_file", &S::m_SpanFile, AnyFormat,
+              "file of spans (OTLP JSON); empty writes none"),
+  };
+}
+
+std::vector<KeyRule<AgentSettings>> agentKeys() {
+  using S = AgentSettings;
+  return {
+      required(textKey("id", &S::m_Id, NameFormat,
+                       "name of this agent in logs, traces and hellos")),
+      required(textKey("failure_domain", &S::m_FailureDomain, NameFormat,
+                       "failure domain that the agent's worker is in")),
+      textKey("rack", &S::m_Rack, OptionalNameFormat,
+              "rack of the worker; empty when it is not known"),
+      required(textListKey("entries", &S::m_Entries, AddressFormat, 1,
+                           "link addresses of every entry")),
+      textKey("listen.http", &S::m_HttpListen, ListenFormat,
+              "listener for the endpoint's announcements; port 0 takes a free "
+              "one"),
+      textKey("telemetry.log_file", &S::m_LogFile, AnyFormat,
+              "file of log lines; empty writes to standard error"),
+      textKey("telemetry.span_file", &S::m_SpanFile, AnyFormat,
+              "file of spans (OTLP JSON); empty writes none"),
+  };
+}
+
+template <class Settings>
+boost::leaf::result<Settings>
+readSettings(const std::string &File,
+             const std::vector<KeyRule<Settings>> &Rules) {
+  FaultList Faults(File);
+  const std::string Text = readTextFile(File, Faults);
+  if (!Faults.empty())
+    return boost::leaf::new_error(SettingsFaults{Faults.faults()});
+  const auto Values = parseToml(Text, Faults);
+  if (!Faults.empty())
+    return boost::leaf::new_error(SettingsFaults{Faults.faults()});
+  Settings Target;
+  applyKeys<Settings>(Rules, Values, 0, "", Target, Faults);
+  if (!Faults.empty())
+    return boost::leaf::new_error(SettingsFaults{Faults.faults()});
+  return Target;
+}
+
+} // namespace
+
+boost::leaf::result<EntrySettings> readEntrySettings(const std::string &File) {
+  return readSettings(File, entryKeys());
+}
+
+boost::leaf::result<AgentSettings> readAgentSettings(const std::string &File) {
+  return readSettings(File, agentKeys());
+}
+
+std::string settingsReference() {
+  return "## Settings of an entry\n\n" +
+         markdownTable(describeKeys(entryKeys())) +
+         "\n## Settings of an agent\n\n" +
+         markdownTable(describeKeys(agentKeys()));
+}
+
+} // namespace cyclamencroft
