--- /dev/null
+++ b/src/http/HttpClient.h
@@ -0,0 +1,52 @@
+// HTTP/1.1 client: one connection for each call.
+#pragma once
+
+#include "core/Error.h"
+#include "core/RuntimeClock.h"
+#include "http/HttpTypes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cyclamencroft {
+
+struct HttpCall {
+  /// "IP:port".
+  std::string m_Address;
+  std::string m_Method = "GET";
+  std::string m_Target = "/";
+  HttpHeaders m_Headers;
+  std::string m_Body;
+  /// From connecting to the last byte of the response.
+  Duration m_Timeout{std::chrono::seconds(10)};
+  /// A larger response is an error.
+  std::size_t m_MaxResponseBytes = 64 * 1024 * 1024;
+};
+
+/// Error steps: "connect" (nothing was sent), "send request" and "read
+/// response" (the request may have taken effect).
+using HttpOutcome = std::variant<HttpResponse, Error>;
+
+/// Calls \p Done once on \p Io, unless the returned handle is called first,
+/// which closes the connection.
+std::function<void()> httpCallAsync(boost::asio::io_context &Io, HttpCall Call,
+                                    std::function<void(HttpOutcome)> Done);
+
+/// Blocking form.
+Result<HttpResponse> httpCall(HttpCall Call);
+
+inline Result<HttpResponse> httpCall(std::string Address, std::string Method,
+                                     std::string Target, HttpHeaders Headers,
+                                     std::string Body, Duration Timeout) {
+  return httpCall(HttpCall{std::move(Address), std::move(Method),
+                           std::move(Target), std::move(Headers),
+                           std::move(Body), Timeout});
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/http/HttpServer.h
@@ -0,0 +1,79 @@
+// HTTP/1.1 server with limits on everything that a caller can send.
+#pragma once
+
+#include "core/RuntimeClock.h"
+#include "http/HttpTypes.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cyclamencroft {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+/// One request and its pending response. Safe to use from any thread.
+class HttpExchange {
+public:
+  virtual ~HttpExchange() = default;
+
+  virtual const HttpRequest &request() const = 0;
+
+  /// Sends the response; calls after the first are ignored. Content-Length and
+  /// Connection are added. An exchange that is dropped without a response
+  /// answers 500.
+  virtual void respond(HttpResponse Response) = 0;
+
+  /// \p Callback is called once, on an I/O thread, when the caller's connection
+  /// closes before respond(); at once when it has closed already.
+  virtual void onGone(std::function<void()> Callback) = 0;
+};
+
+class HttpServer {
+public:
+  struct Limits {
+    std::size_t m_HeaderBytes = 8 * 1024;
+    std::size_t m_BodyBytes = 1024 * 1024;
+    /// Further connections get 503 and are closed.
+    std::size_t m_Connections = 4096;
+    /// From the first byte of a request to its last; 408 after that.
+    Duration m_SlowSender{std::chrono::seconds(5)};
+    /// A connection without a request is closed after this long.
+    Duration m_Idle{std::chrono::minutes(5)};
+  };
+  using Request = HttpRequest;
+  using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+  /// Listens on \p Listen ("IP:port"; port 0 takes a free one). Throws
+  /// std::runtime_error that names the address when that fails. \p Io may be
+  /// run by several threads; \p Handle is called on them.
+  HttpServer(boost::asio::io_context &Io, const std::string &Listen,
+             Handler Handle, Limits Limit);
+  /// Same as stop().
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  std::uint16_t port() const;
+
+  /// Accepts no further connections; open ones end after their response.
+  void stopAccepting();
+
+  /// Closes the listener and every connection.
+  void stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamencroft
