--- a/src/agent/AgentCoreImpl.h
+++ b/src/agent/AgentCoreImpl.h
@@ -42,6 +42,7 @@
     TraceContext m_Trace;
     std::uint64_t m_SpanId = 0;
     TimePoint m_Start{};
+    TimePoint m_Deadline{};
     std::string m_EndpointAddress;
     bool m_Aborted = false;
   };
@@ -98,6 +99,7 @@
   void startWaiting();
   void start(WaitingTask Task);
   void finish(const RunningTask &Run, const RunEnded &End);
+  RefusalReason reasonNotReached(const RunningTask &Run) const;
   SequenceState reconcile(EntrySession &Session, Sequence Number);
 
   /// None while new work is taken; else why it is refused.
--- a/src/agent/AgentEvents.h
+++ b/src/agent/AgentEvents.h
@@ -35,8 +35,8 @@
 /// The endpoint's answer to a started task is whole, or can't become so.
 struct RunEnded {
   RunId m_Run{};
-  /// Completed, Failed or Unknown (connection lost or timed out after the
-  /// request was sent).
+  /// Completed, Failed, Unknown (connection lost or timed out after the request
+  /// was sent) or NotRun (no byte of the request was sent).
   Outcome m_Outcome = Outcome::Completed;
   std::uint16_t m_HttpStatus = 0;
   Payload m_Body;
--- a/src/agent/AgentTasks.cpp
+++ b/src/agent/AgentTasks.cpp
@@ -135,6 +135,7 @@
   Started.m_Trace = Task.m_Trace;
   Started.m_SpanId = drawSpanId();
   Started.m_Start = m_Now;
+  Started.m_Deadline = Task.m_Deadline;
   Started.m_EndpointAddress = m_Lease.endpoint().m_Address;
 
   StartRun Command;
@@ -168,20 +169,19 @@
 }
 
 void AgentCore::Impl::finish(const RunningTask &Run, const RunEnded &End) {
-  // An endpoint that can't be reached takes no work until it announces itself
-  // again; the task was not started and can go elsewhere.
   const bool Unreached = End.m_Outcome == Outcome::NotRun;
-  if (Unreached && Run.m_EndpointAddress == m_Lease.endpoint().m_Address)
+  const RefusalReason Reason =
+      Unreached ? reasonNotReached(Run) : RefusalReason::None;
+  if (Reason == RefusalReason::EndpointAbsent &&
+      Run.m_EndpointAddress == m_Lease.endpoint().m_Address)
     m_Lease.revoke();
   EntrySession &Session = m_Sessions[Run.m_Key.m_Entry];
   if (Session.m_WindowId != Run.m_Key.m_WindowId ||
       !Session.m_Window.contains(Run.m_Key.m_Sequence))
     return;
   if (Unreached) {
-    tellChanges(Session);
-    refuse(Run.m_Key, Run.m_Request,
-           Run.m_Aborted ? RefusalReason::Cancelled
-                         : RefusalReason::EndpointAbsent);
+    tellChanges(Session); // Before the task comes back to the entry.
+    refuse(Run.m_Key, Run.m_Request, Reason);
     return;
   }
   TaskResult Result;
@@ -198,6 +198,15 @@
     send(Session, std::move(Result));
 }
 
+// An endpoint that can't be reached takes no work until it announces itself
+// again; an aborted or overdue connection attempt says nothing about it.
+RefusalReason AgentCore::Impl::reasonNotReached(const RunningTask &Run) const {
+  if (Run.m_Aborted)
+    return RefusalReason::Cancelled;
+  return m_Now >= Run.m_Deadline ? RefusalReason::DeadlinePassed
+                                 : RefusalReason::EndpointAbsent;
+}
+
 void AgentCore::Impl::onMessage(EntrySession &Session,
                                 const CancelTasks &Message) {
   const std::uint64_t Window = Session.m_WindowId;
--- a/tests/unit/AgentLinksTest.cpp
+++ b/tests/unit/AgentLinksTest.cpp
@@ -107,6 +107,20 @@
   start(1);
 }
 
+// Guards against a queued task of a replaced entry that starts: a relay may
+// join an open link to a restarted entry.
+BOOST_AUTO_TEST_CASE(NewIncarnationOnOpenLinkDropsQueue) {
+  m_Slots = 1;
+  connect();
+  allowQueue(1);
+  const RunId Run = start(1);
+  dispatch(2);
+  greet(99);
+  BOOST_TEST(sent<AgentHello>().size() == 1U);
+  end(Run);
+  BOOST_TEST(starts() == 0U);
+}
+
 // Guards against one window id for two addresses of the same entry: it would
 // reconcile at one what it dispatched at the other.
 BOOST_AUTO_TEST_CASE(WindowIdsDifferBetweenAddresses) {
--- a/tests/unit/AgentTasksTest.cpp
+++ b/tests/unit/AgentTasksTest.cpp
@@ -92,6 +92,7 @@
   end(First);
   dispatch(3);
   BOOST_TEST(starts() == 0U);
+  BOOST_TEST(refusal() == RefusalReason::SequenceRepeated);
   BOOST_TEST((reconcile(3) == SequenceState::Fenced));
 }
 
@@ -213,4 +214,20 @@
   BOOST_TEST((sent<AgentStatus>().at(0).m_State == AgentState::Active));
 }
 
+// Guards against an endpoint that is taken for absent because a connection
+// attempt was cancelled or a frozen agent came too late.
+BOOST_AUTO_TEST_CASE(CancelledOrOverdueAttemptKeepsLease) {
+  connect();
+  const RunId Run = start(1, {7, 7});
+  receive(CancelTasks{{7, 7}});
+  end(Run, Outcome::NotRun);
+  BOOST_TEST(refusal() == RefusalReason::Cancelled);
+  m_TimeLeft = Second;
+  const RunId Late = start(2);
+  advance(Second);
+  end(Late, Outcome::NotRun);
+  BOOST_TEST(refusal() == RefusalReason::DeadlinePassed);
+  BOOST_TEST(m_Core.status().m_Ready);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
