--- /dev/null
+++ b/src/entry/QuotaLedger.cpp
@@ -0,0 +1,176 @@
+// Quota shares from the demand that the entries report to each other.
+#include "entry/QuotaLedger.h"
+
+#include "entry/TeamBucket.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace cyclamencroft {
+namespace {
+
+// Entries report each second; after this silence a peer may be granting its
+// even share alone.
+constexpr Duration ReportLife = std::chrono::seconds(3);
+
+struct TeamRow {
+  std::uint32_t m_Quota = 0;
+  /// Index into a peer's demands.
+  std::size_t m_Index = 0;
+  /// Starts asked for since the last report.
+  std::uint64_t m_Asked = 0;
+  /// Demand in the last report; peers compute with the same number.
+  std::uint32_t m_OwnDemand = 0;
+  /// Value of the ledger's epoch when the rate was set.
+  std::uint64_t m_Epoch = 0;
+  TeamBucket m_Bucket;
+};
+
+struct PeerReport {
+  TimePoint m_At{};
+  /// One per configured team, by TeamRow::m_Index.
+  std::vector<std::uint32_t> m_Demands;
+};
+
+} // namespace
+
+class QuotaLedger::Impl {
+public:
+  explicit Impl(std::uint32_t Entries)
+      : m_Entries(std::max<std::uint32_t>(Entries, 1)) {}
+
+  void configure(const Configuration &Config);
+  bool tryTake(std::string_view Team, std::uint32_t Tasks, TimePoint Now);
+  void reportReceived(LinkId Peer, const QuotaReport &Report, TimePoint Now);
+  void peerLost(LinkId Peer);
+  QuotaReport makeReport(TimePoint Now);
+
+private:
+  bool hasAllReports(TimePoint Now) const;
+  double rateOf(const TeamRow &Team) const;
+
+  std::uint32_t m_Entries;
+  /// Grows whenever a rate may change; rates are then set on next use.
+  std::uint64_t m_Epoch = 1;
+  bool m_ByDemand = false;
+  TimePoint m_ReportedAt{};
+  std::map<std::string, TeamRow, std::less<>> m_Teams;
+  std::map<LinkId, PeerReport> m_Peers;
+};
+
+void QuotaLedger::Impl::configure(const Configuration &Config) {
+  std::map<std::string, TeamRow, std::less<>> Teams;
+  for (const auto &[Name, Team] : Config.m_Teams) {
+    const auto Old = m_Teams.find(Name);
+    TeamRow Row = Old == m_Teams.end() ? TeamRow() : Old->second;
+    Row.m_Quota = Team.m_StartsPerSecond;
+    Row.m_Index = Teams.size();
+    Teams.emplace(Name, std::move(Row));
+  }
+  m_Teams.swap(Teams);
+  // Old reports have other indexes; the next ones come within a second.
+  m_Peers.clear();
+  ++m_Epoch;
+}
+
+bool QuotaLedger::Impl::tryTake(std::string_view Team, std::uint32_t Tasks,
+                                TimePoint Now) {
+  const auto Found = m_Teams.find(Team);
+  if (Found == m_Teams.end() || Found->second.m_Quota == 0)
+    return true;
+  const bool ByDemand = hasAllReports(Now);
+  if (ByDemand != m_ByDemand)
+    ++m_Epoch;
+  m_ByDemand = ByDemand;
+  TeamRow &Row = Found->second;
+  Row.m_Asked += Tasks;
+  if (Row.m_Epoch != m_Epoch)
+    Row.m_Bucket.setRate(rateOf(Row), Now);
+  Row.m_Epoch = m_Epoch;
+  return Row.m_Bucket.tryTake(Tasks, Now);
+}
+
+bool QuotaLedger::Impl::hasAllReports(TimePoint Now) const {
+  std::uint32_t Fresh = 1;
+  for (const auto &[Link, Peer] : m_Peers)
+    Fresh += Now - Peer.m_At < ReportLife ? 1 : 0;
+  return Fresh >= m_Entries;
+}
+
+double QuotaLedger::Impl::rateOf(const TeamRow &Team) const {
+  const double Even = static_cast<double>(Team.m_Quota) / m_Entries;
+  if (!m_ByDemand)
+    return Even;
+  double Total = Team.m_OwnDemand;
+  for (const auto &[Link, Peer] : m_Peers)
+    Total += Peer.m_Demands[Team.m_Index];
+  if (Total <= 0)
+    return Even;
+  return Even / 2 + Team.m_Quota / 2.0 * Team.m_OwnDemand / Total;
+}
+
+void QuotaLedger::Impl::reportReceived(LinkId Peer, const QuotaReport &Report,
+                                       TimePoint Now) {
+  PeerReport &Row = m_Peers[Peer];
+  Row.m_At = Now;
+  Row.m_Demands.assign(m_Teams.size(), 0);
+  for (const TeamDemand &Demand : Report.m_Demands) {
+    const auto Team = m_Teams.find(Demand.m_Team);
+    if (Team != m_Teams.end())
+      Row.m_Demands[Team->second.m_Index] = Demand.m_StartsPerSecond;
+  }
+  ++m_Epoch;
+}
+
+void QuotaLedger::Impl::peerLost(LinkId Peer) {
+  m_Peers.erase(Peer);
+  ++m_Epoch;
+}
+
+QuotaReport QuotaLedger::Impl::makeReport(TimePoint Now) {
+  // The time that the counts cover; the first report has no earlier one.
+  constexpr double LongestSpan = 2.0;
+  const std::chrono::duration<double> Elapsed = Now - m_ReportedAt;
+  const double Span = std::clamp(Elapsed.count(), 0.1, LongestSpan);
+  m_ReportedAt = Now;
+  QuotaReport Report;
+  for (auto &[Name, Team] : m_Teams) {
+    // Demand beyond the whole quota must not take more than all of it.
+    const auto Demand = static_cast<std::uint32_t>(
+        std::min<double>(Team.m_Quota, Team.m_Asked / Span + 0.999));
+    Team.m_Asked = 0;
+    Team.m_OwnDemand = Demand;
+    if (Demand > 0)
+      Report.m_Demands.push_back({Name, Demand});
+  }
+  ++m_Epoch;
+  return Report;
+}
+
+QuotaLedger::QuotaLedger(std::uint32_t Entries)
+    : m_Impl(std::make_unique<Impl>(Entries)) {}
+
+QuotaLedger::~QuotaLedger() = default;
+
+void QuotaLedger::configure(const Configuration &Config) {
+  m_Impl->configure(Config);
+}
+
+bool QuotaLedger::tryTake(std::string_view Team, std::uint32_t Tasks,
+                          TimePoint Now) {
+  return m_Impl->tryTake(Team, Tasks, Now);
+}
+
+void QuotaLedger::reportReceived(LinkId Peer, const QuotaReport &Report,
+                                 TimePoint Now) {
+  m_Impl->reportReceived(Peer, Report, Now);
+}
+
+void QuotaLedger::peerLost(LinkId Peer) { m_Impl->peerLost(Peer); }
+
+QuotaReport QuotaLedger::makeReport(TimePoint Now) {
+  return m_Impl->makeReport(Now);
+}
+
+} // namespace cyclamencroft
--- a/src/entry/RetryBudget.h
+++ b/src/entry/RetryBudget.h
@@ -17,6 +17,9 @@
   bool tryRetry(TimePoint Now);
 
 private:
+  /// Adds the minimum that time alone earns.
+  void refill(TimePoint Now);
+
   /// Hundredths of a retry. Invariant: within 0 and the bucket's size.
   std::int64_t m_Balance = 0;
   TimePoint m_LastRefill{};
