--- a/src/entry/QuotaLedger.cpp
+++ b/src/entry/QuotaLedger.cpp
@@ -66,7 +66,7 @@
     TeamRow Row = Old == m_Teams.end() ? TeamRow() : Old->second;
     Row.m_Quota = Team.m_StartsPerSecond;
     Row.m_Index = Teams.size();
-    Teams.emplace(Name, std::move(Row));
+    Teams.emplace(Name, Row);
   }
   m_Teams.swap(Teams);
   // Old reports have other indexes; the next ones come within a second.
