--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -26,7 +26,7 @@
   /// From connecting to the last byte of the response.
   Duration m_Timeout{std::chrono::seconds(10)};
   /// A larger response is an error.
-  std::size_t m_MaxResponseBytes = 64 * 1024 * 1024;
+  std::size_t m_MaxResponseBytes = 64 * 1024 * std::size_t(1024);
 };
 
 /// Error steps: "connect" (nothing was sent), "send request" and "read
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -41,8 +41,8 @@
 class HttpServer {
 public:
   struct Limits {
-    std::size_t m_HeaderBytes = 8 * 1024;
-    std::size_t m_BodyBytes = 1024 * 1024;
+    std::size_t m_HeaderBytes = 8 * std::size_t(1024);
+    std::size_t m_BodyBytes = 1024 * std::size_t(1024);
     /// Further connections get 503 and are closed.
     std::size_t m_Connections = 4096;
     /// From the first byte of a request to its last; 408 after that.
