Judge the configuration stream

Cause: racing operators, truncated logs and peers must lead every process to the same configuration, and an accepted one must never revert.

Change: the configuration document is read with the same key tables as settings.

--- /dev/null
+++ b/src/config/ConfigJudge.h
@@ -0,0 +1,118 @@
+// Decides which changes of the configuration stream are accepted. Pure: every
+// process that consumes the same records reaches the same decisions.
+#pragma once
+
+#include "config/ConfigRecord.h"
+#include "config/Configuration.h"
+#include "core/Messages.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamencroft {
+
+enum class Decision : std::uint8_t {
+  Accepted, ///< The change is the version in effect from here on.
+  Rejected, ///< The change never comes into effect.
+  Ignored,  ///< No change: a snapshot, or a record that was read before.
+  Held,     ///< The version before it is not known yet; decided later.
+};
+
+/// The decision on one record.
+struct Judgement {
+  Decision m_Decision = Decision::Ignored;
+  std::uint64_t m_Offset = 0;
+  /// Empty for snapshots and malformed records.
+  ChangeHeader m_Header;
+  /// One sentence; empty when accepted.
+  std::string m_Reason;
+  /// Version in effect after the record; 0 while it is not known.
+  ConfigVersion m_Version = 0;
+};
+
+/// The newest snapshot record that was read.
+struct SnapshotSeen {
+  ConfigVersion m_Version = 0;
+  /// Offset up to which the snapshot holds.
+  std::uint64_t m_Offset = 0;
+};
+
+class ConfigJudge {
+public:
+  ConfigJudge();
+
+  /// Consumes the record at \p Offset. A gap before it makes the version in
+  /// effect unknown until the next usable snapshot. Returns the decision on
+  /// this record after those on held records that it settled.
+  std::vector<Judgement> consume(std::uint64_t Offset, const std::string &Text);
+
+  /// The log keeps nothing below \p First. Records that were not read before
+  /// they went are a gap.
+  void truncatedTo(std::uint64_t First);
+
+  /// Takes a configuration from a peer. False when it is not above the state
+  /// held, invalid, or contradicts what was read; \p Reason says which.
+  bool offer(const ConfigTransfer &Transfer, std::string &Reason);
+
+  /// Offset of the next record to read.
+  std::uint64_t nextOffset() const { return m_Next; }
+
+  /// True when the version in effect at nextOffset() is known, so that changes
+  /// can be decided.
+  bool isCurrent() const { return m_Current != nullptr; }
+
+  /// Highest state known, null for none. After a gap it may be older than the
+  /// version in effect at nextOffset(), but never newer.
+  ConfigStatePtr adopted() const { return m_Adopted; }
+
+  /// Version in effect at nextOffset(); 0 when none was ever accepted or
+  /// isCurrent() is false.
+  ConfigVersion currentVersion() const;
+
+  const std::optional<SnapshotSeen> &newestSnapshot() const {
+    return m_NewestSnapshot;
+  }
+
+  /// Snapshot of the version in effect at nextOffset(). Requires isCurrent()
+  /// and currentVersion() above 0.
+  Snapshot makeSnapshot() const;
+
+private:
+  struct HeldRecord {
+    std::uint64_t m_Offset;
+    ConfigRecord m_Record;
+    std::size_t m_Bytes;
+  };
+
+  Judgement judge(std::uint64_t Offset, const DocumentChange &Change);
+  Judgement judge(std::uint64_t Offset, const PresetSwitch &Change);
+  Judgement judgeSnapshot(std::uint64_t Offset, const Snapshot &Record,
+                          std::vector<Judgement> &Settled);
+  /// True for a snapshot that can't stem from the same records.
+  bool contradicts(const Snapshot &Record) const;
+  Judgement rejectStale(std::uint64_t Offset, const ChangeHeader &Header) const;
+  Judgement accept(std::uint64_t Offset, const ChangeHeader &Header,
+                   ConfigState State);
+  Judgement hold(std::uint64_t Offset, ConfigRecord Record, std::size_t Bytes);
+  void start(ConfigStatePtr State, std::uint64_t Offset,
+             std::vector<Judgement> &Settled);
+  void adopt(const ConfigStatePtr &State);
+
+  /// State at m_Next; null when it is not known. Version 0 without a document
+  /// before the first accepted change.
+  ConfigStatePtr m_Current;
+  /// Invariant: its version never decreases.
+  ConfigStatePtr m_Adopted;
+  /// Every record from here to m_Next was read or is covered by a snapshot.
+  std::uint64_t m_Start = 0;
+  std::uint64_t m_Next = 0;
+  /// Records from m_Start on, kept while m_Current is null. Invariant:
+  /// m_HeldBytes is the sum of their sizes.
+  std::deque<HeldRecord> m_Held;
+  std::size_t m_HeldBytes = 0;
+  std::optional<SnapshotSeen> m_NewestSnapshot;
+};
+
+} // namespace cyclamencroft
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -1,6 +1,7 @@
 // Text of key tables for the reference and for fault messages.
 #include "settings/KeyTable.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace cyclamencroft {
@@ -34,4 +35,14 @@
   return Text;
 }
 
+bool isTableAbove(const std::vector<KeyDescription> &Keys,
+                  const std::string &Name) {
+  if (Name.empty())
+    return true;
+  const std::string Prefix = Name + '.';
+  return std::any_of(Keys.begin(), Keys.end(), [&](const KeyDescription &Key) {
+    return Key.m_Name.compare(0, Prefix.size(), Prefix) == 0;
+  });
+}
+
 } // namespace cyclamencroft
--- a/src/settings/KeyTable.h
+++ b/src/settings/KeyTable.h
@@ -2,6 +2,7 @@
 // documents itself, so that checks and reference can't drift apart.
 #pragma once
 
+#include "core/RuntimeClock.h"
 #include "settings/TextFormat.h"
 #include "settings/TomlDocument.h"
 
@@ -45,6 +46,18 @@
 /// Texts that numbers have in the reference and in fault messages.
 std::string showNumber(double Value);
 
+/// Limits of a number, both included, and its unit.
+template <class N> struct NumberRange {
+  N m_Lowest;
+  N m_Highest;
+  std::string_view m_Unit;
+
+  std::string describe(std::string_view Kind) const {
+    return std::string(Kind) + " from " + showNumber(m_Lowest) + " to " +
+           showNumber(m_Highest);
+  }
+};
+
 template <class T>
 KeyRule<T> textKey(std::string Name, std::string T::*Member, TextFormat Format,
                    std::string Meaning) {
@@ -86,6 +99,50 @@
           Store};
 }
 
+/// One of a few names, each with the value that it stands for.
+template <class T, class V>
+KeyRule<T> choiceKey(std::string Name, V T::*Member,
+                     std::vector<std::pair<std::string, V>> Choices,
+                     std::string Meaning) {
+  std::string Valid;
+  for (const auto &Choice : Choices)
+    Valid += (Valid.empty() ? "\"" : ", \"") + Choice.first + '"';
+  const auto Store = [Member, Choices](const KeyValue &Value, T &Target) {
+    const auto *Text = std::get_if<std::string>(&Value);
+    for (const auto &Choice : Choices)
+      if (Text && Choice.first == *Text) {
+        Target.*Member = Choice.second;
+        return true;
+      }
+    return false;
+  };
+  return {{std::move(Name), "text", "", '"' + Choices.front().first + '"',
+           "one of " + Valid, std::move(Meaning)},
+          false,
+          Store};
+}
+
+/// A duration in whole milliseconds; the name ends in "_ms".
+template <class T>
+KeyRule<T> millisecondsKey(std::string Name, Duration T::*Member,
+                           NumberRange<std::uint32_t> Range,
+                           std::string Meaning) {
+  const auto Store = [Member, Range](const KeyValue &Value, T &Target) {
+    const auto *Number = std::get_if<std::int64_t>(&Value);
+    if (!Number || *Number < Range.m_Lowest || *Number > Range.m_Highest)
+      return false;
+    Target.*Member = std::chrono::milliseconds(*Number);
+    return true;
+  };
+  const auto Default =
+      std::chrono::duration_cast<std::chrono::milliseconds>(T{}.*Member);
+  return {{std::move(Name), "integer", std::string(Range.m_Unit),
+           showNumber(static_cast<double>(Default.count())),
+           Range.describe("an integer"), std::move(Meaning)},
+          false,
+          Store};
+}
+
 template <class T>
 KeyRule<T> booleanKey(std::string Name, bool T::*Member, std::string Meaning) {
   const auto Store = [Member](const KeyValue &Value, T &Target) {
@@ -100,18 +157,6 @@
           Store};
 }
 
-/// Limits of a number, both included, and its unit.
-template <class N> struct NumberRange {
-  N m_Lowest;
-  N m_Highest;
-  std::string_view m_Unit;
-
-  std::string describe(std::string_view Kind) const {
-    return std::string(Kind) + " from " + showNumber(m_Lowest) + " to " +
-           showNumber(m_Highest);
-  }
-};
-
 template <class T>
 KeyRule<T> integerKey(std::string Name, std::uint32_t T::*Member,
                       NumberRange<std::uint32_t> Range, std::string Meaning) {
@@ -169,6 +214,10 @@
 /// What an unknown key gets as "what would be valid".
 std::string listOfNames(const std::vector<KeyDescription> &Keys);
 
+/// True when \p Name is empty or a table in which one of \p Keys could stand.
+bool isTableAbove(const std::vector<KeyDescription> &Keys,
+                  const std::string &Name);
+
 /// Checks \p Values against \p Rules and stores them in \p Target; adds every
 /// fault found. Paths are taken from \p Depth on; \p Where names the table.
 template <class T>
@@ -178,7 +227,8 @@
   std::set<std::string> Present;
   for (const DocumentValue &Value : Values) {
     const std::string Name = joinPath(Value.m_Path, Depth);
-    if (Name.empty() || Value.isEmptyTableAbove(describeKeys(Rules), Depth))
+    const bool IsEmptyTable = std::holds_alternative<EmptyTable>(Value.m_Value);
+    if (IsEmptyTable && isTableAbove(describeKeys(Rules), Name))
       continue;
     const KeyRule<T> *Found = nullptr;
     for (const KeyRule<T> &Rule : Rules)
--- a/src/settings/TomlDocument.cpp
+++ b/src/settings/TomlDocument.cpp
@@ -1,8 +1,6 @@
 // Flattens what toml++ parsed into values with their line numbers.
 #include "settings/TomlDocument.h"
 
-#include "settings/KeyTable.h"
-
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -76,16 +74,6 @@
 
 } // namespace
 
-bool DocumentValue::isEmptyTableAbove(const std::vector<KeyDescription> &Keys,
-                                      std::size_t Depth) const {
-  if (!std::holds_alternative<EmptyTable>(m_Value))
-    return false;
-  const std::string Prefix = joinPath(m_Path, Depth) + '.';
-  return std::any_of(Keys.begin(), Keys.end(), [&](const KeyDescription &Key) {
-    return Key.m_Name.compare(0, Prefix.size(), Prefix) == 0;
-  });
-}
-
 std::string joinPath(const std::vector<std::string> &Path, std::size_t Depth) {
   std::string Text;
   for (std::size_t I = Depth; I < Path.size(); ++I) {
--- a/src/settings/TomlDocument.h
+++ b/src/settings/TomlDocument.h
@@ -10,8 +10,6 @@
 
 namespace cyclamencroft {
 
-struct KeyDescription;
-
 /// A table without keys; written "[name]" with nothing after it.
 struct EmptyTable {};
 /// A type that no key takes, such as a date or a list of numbers.
@@ -27,10 +25,6 @@
   KeyValue m_Value;
   /// The value as TOML text on one line, shortened when long.
   std::string m_Shown;
-
-  /// True for an empty table in which one of \p Keys could stand.
-  bool isEmptyTableAbove(const std::vector<KeyDescription> &Keys,
-                         std::size_t Depth) const;
 };
 
 /// Path from \p Depth on with dots; parts that TOML needs quoted are quoted.
