--- a/tests/process/support/ChildProcess.cpp
+++ b/tests/process/support/ChildProcess.cpp
@@ -110,7 +110,7 @@
   const auto End = std::chrono::steady_clock::now() + Limit;
   for (;;) {
     const std::string Text = output();
-    const std::string Line = findLine(Text, Needle);
+    std::string Line = findLine(Text, Needle);
     if (!Line.empty())
       return Line;
     if (std::chrono::steady_clock::now() >= End)
--- /dev/null
+++ b/tests/process/support/Deployment.cpp
@@ -0,0 +1,261 @@
+// Starts each process with port 0 and reads the ports that it got from its log.
+#include "process/support/Deployment.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace cyclamencroft::test {
+namespace {
+
+constexpr std::chrono::milliseconds StartLimit{15000};
+constexpr std::chrono::milliseconds CliLimit{60000};
+constexpr std::chrono::milliseconds PollInterval{10};
+constexpr Duration CallTimeout = std::chrono::seconds(60);
+constexpr char Service[] = "permit-desk";
+
+std::string quotedList(const std::vector<std::string> &Values) {
+  std::string Text = "[";
+  for (const std::string &Value : Values)
+    Text += (Text.size() > 1 ? ", \"" : "\"") + Value + '"';
+  return Text + "]";
+}
+
+HttpResponse post(const std::string &Address, const std::string &Target,
+                  const HttpHeaders &Headers, const std::string &Body) {
+  HttpResponse Response;
+  boost::leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(Response, httpCall(Address, "POST", Target, Headers,
+                                             Body, CallTimeout));
+        return {};
+      },
+      [](const Error &E) { throw std::runtime_error(E.describe()); },
+      [] { throw std::runtime_error("unknown error"); });
+  return Response;
+}
+
+} // namespace
+
+const char Deployment::TestConfiguration[] = R"(
+preset = "ordinary"
+[services.permit-desk]
+default_deadline_ms = 20000
+max_deadline_ms = 60000
+[teams.markets]
+starts_per_second = 1000
+[presets.ordinary]
+routing = "share"
+[presets.peak]
+routing = "share"
+queue_limit = 500
+[presets.maintenance]
+routing = "share"
+drained_failure_domains = ["quimper-b"]
+)";
+
+Deployment::Deployment() {
+  char Folder[] = "/tmp/cyclamencroft-test-XXXXXX";
+  if (!mkdtemp(Folder))
+    throw std::runtime_error("cannot make a folder under /tmp");
+  m_Folder = Folder;
+}
+
+Deployment::~Deployment() {
+  m_Endpoints.clear();
+  m_Agents.clear();
+  m_Entries.clear();
+  m_Relays.clear();
+  m_Log.m_Process.reset();
+  std::error_code Ignored;
+  std::filesystem::remove_all(m_Folder, Ignored);
+}
+
+std::string Deployment::fileFor(const std::string &Name) const {
+  return m_Folder + '/' + Name;
+}
+
+std::string Deployment::writeFile(const std::string &Name,
+                                  const std::string &Text) {
+  std::ofstream(fileFor(Name)) << Text;
+  return fileFor(Name);
+}
+
+void Deployment::startLog(std::vector<std::string> Options) {
+  m_Log.m_Process = std::make_unique<ChildProcess>(
+      "cyclamencroft-standin-log", std::move(Options), fileFor("log.out"));
+  m_Log.m_Http = m_Log.m_Process->waitForField("listening", "http", StartLimit);
+}
+
+Node &Deployment::startEntry(const std::string &HttpListen,
+                             const std::string &LinkListen) {
+  const std::string Id = "entry-" + std::to_string(++m_Started);
+  std::vector<std::string> Peers;
+  for (const auto &Entry : m_Entries)
+    Peers.push_back(Entry->m_Link);
+  const std::string Settings = writeFile(
+      Id + ".toml",
+      "id = \"" + Id + "\"\nfailure_domain = \"quimper-a\"\n" +
+          "peers = " + quotedList(Peers) +
+          "\nentries = 2\n[listen]\nhttp = \"" + HttpListen + "\"\nlink = \"" +
+          LinkListen + "\"\n[log]\naddress = \"" + m_Log.m_Http +
+          "\"\n[telemetry]\nspan_file = \"" + fileFor(Id + ".spans") + "\"\n");
+  auto Entry = std::make_unique<Node>();
+  Entry->m_Process = std::make_unique<ChildProcess>(
+      "cyclamencroft-entry", std::vector<std::string>{"--settings", Settings},
+      fileFor(Id + ".out"));
+  Entry->m_Http =
+      Entry->m_Process->waitForField("listening", "http", StartLimit);
+  Entry->m_Link =
+      Entry->m_Process->waitForField("listening", "link", StartLimit);
+  m_Entries.push_back(std::move(Entry));
+  return *m_Entries.back();
+}
+
+Node &Deployment::startAgent(std::vector<std::string> Links,
+                             const std::string &FailureDomain) {
+  const std::string Id = "agent-" + std::to_string(++m_Started);
+  if (Links.empty())
+    for (const auto &Entry : m_Entries)
+      Links.push_back(Entry->m_Link);
+  const std::string Settings = writeFile(
+      Id + ".toml",
+      "id = \"" + Id + "\"\nfailure_domain = \"" + FailureDomain +
+          "\"\nrack = \"rack-1\"\nentries = " + quotedList(Links) +
+          "\n[telemetry]\nspan_file = \"" + fileFor(Id + ".spans") + "\"\n");
+  auto Agent = std::make_unique<Node>();
+  Agent->m_Process = std::make_unique<ChildProcess>(
+      "cyclamencroft-agent", std::vector<std::string>{"--settings", Settings},
+      fileFor(Id + ".out"));
+  Agent->m_Http =
+      Agent->m_Process->waitForField("listening", "http", StartLimit);
+  m_Agents.push_back(std::move(Agent));
+  return *m_Agents.back();
+}
+
+Node &Deployment::startEndpoint(const Node &Agent,
+                                std::vector<std::string> Options) {
+  std::vector<std::string> Arguments = {"--agent", Agent.m_Http, "--service",
+                                        Service};
+  Arguments.insert(Arguments.end(), Options.begin(), Options.end());
+  auto Endpoint = std::make_unique<Node>();
+  Endpoint->m_Process = std::make_unique<ChildProcess>(
+      "cyclamencroft-standin-endpoint", Arguments,
+      fileFor("endpoint-" + std::to_string(++m_Started) + ".out"));
+  Endpoint->m_Http =
+      Endpoint->m_Process->waitForField("listening", "http", StartLimit);
+  m_Endpoints.push_back(std::move(Endpoint));
+  return *m_Endpoints.back();
+}
+
+Node &Deployment::startRelay(const std::string &Target) {
+  auto Relay = std::make_unique<Node>();
+  Relay->m_Process = std::make_unique<ChildProcess>(
+      "cyclamencroft-relay", std::vector<std::string>{"--target", Target},
+      fileFor("relay-" + std::to_string(++m_Started) + ".out"));
+  Relay->m_Http =
+      Relay->m_Process->waitForField("listening", "control", StartLimit);
+  Relay->m_Link =
+      Relay->m_Process->waitForField("listening", "relay", StartLimit);
+  m_Relays.push_back(std::move(Relay));
+  return *m_Relays.back();
+}
+
+void Deployment::startWhole(std::size_t Entries, std::size_t Agents,
+                            const std::vector<std::string> &EndpointOptions) {
+  startLog();
+  for (std::size_t I = 0; I < Entries; ++I)
+    startEntry();
+  for (std::size_t I = 0; I < Agents; ++I)
+    startEndpoint(startAgent(), EndpointOptions);
+  if (publish(TestConfiguration) != 0)
+    throw std::runtime_error("the test configuration was not accepted");
+  waitForAgents(Agents);
+}
+
+int Deployment::publish(const std::string &Document) {
+  const std::string File =
+      writeFile("config-" + std::to_string(++m_Started) + ".toml", Document);
+  return runCli({"config", "publish", File, "--log", m_Log.m_Http});
+}
+
+int Deployment::runCli(std::vector<std::string> Arguments,
+                       std::string *Output) {
+  ChildProcess Cli("cyclamencroft", std::move(Arguments),
+                   fileFor("cli-" + std::to_string(++m_Started) + ".out"));
+  if (!Cli.waitForExit(CliLimit))
+    throw std::runtime_error("the command line did not end: " + Cli.output());
+  if (Output)
+    *Output = Cli.output();
+  return Cli.exitCode();
+}
+
+void Deployment::waitUntil(const std::function<bool()> &Done,
+                           const std::string &What,
+                           std::chrono::milliseconds Limit) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Done()) {
+    if (std::chrono::steady_clock::now() >= End)
+      throw std::runtime_error("timed out waiting until " + What);
+    std::this_thread::sleep_for(PollInterval);
+  }
+}
+
+void Deployment::waitForAgents(std::size_t Agents) {
+  for (const auto &Entry : m_Entries)
+    waitUntil(
+        [&] {
+          const auto Status = getJson(Entry->m_Http, "/v1/status");
+          return Status.is_object() && Status.value("ready", false) &&
+                 Status.value("agents", std::size_t{0}) == Agents;
+        },
+        "an entry is ready with its agents", StartLimit);
+}
+
+nlohmann::json Deployment::getJson(const std::string &Address,
+                                   const std::string &Target) {
+  nlohmann::json Json;
+  boost::leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(Response, httpCall(Address, "GET", Target, {}, "",
+                                           std::chrono::seconds(2)));
+        if (Response.m_Status == 200)
+          Json = nlohmann::json::parse(Response.m_Body, nullptr, false);
+        return {};
+      },
+      [] {});
+  return Json;
+}
+
+HttpResponse Deployment::call(const std::string &Entry, const std::string &Body,
+                              const HttpHeaders &Headers) {
+  return post(Entry, std::string("/v1/services/") + Service + "/requests",
+              Headers, Body);
+}
+
+HttpResponse Deployment::submit(const std::string &Entry,
+                                const std::vector<std::string> &Tasks,
+                                const HttpHeaders &Headers) {
+  return post(Entry, std::string("/v1/services/") + Service + "/jobs", Headers,
+              nlohmann::json({{"tasks", Tasks}}).dump());
+}
+
+void Deployment::postMode(const Node &Target, const std::string &Json) {
+  const HttpResponse Response = post(Target.m_Http, "/mode", {}, Json);
+  if (Response.m_Status >= 300)
+    throw std::runtime_error("mode refused: " + Response.m_Body);
+}
+
+std::uint64_t Deployment::sumStarts(const std::string &Member) {
+  std::uint64_t Sum = 0;
+  for (const auto &Endpoint : m_Endpoints)
+    if (Endpoint->m_Process->pid() > 0)
+      Sum += getJson(Endpoint->m_Http, "/starts").value(Member, 0ULL);
+  return Sum;
+}
+
+} // namespace cyclamencroft::test
--- /dev/null
+++ b/tests/process/support/Deployment.h
@@ -0,0 +1,96 @@
+// A small deployment of separate processes on loopback: the log stand-in,
+// entries, agents and endpoint stand-ins, with settings in a folder of its own.
+#pragma once
+
+#include "http/HttpClient.h"
+#include "process/support/ChildProcess.h"
+
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace cyclamencroft::test {
+
+/// A started process with the addresses that it reported.
+struct Node {
+  std::unique_ptr<ChildProcess> m_Process;
+  /// "IP:port"; empty when the process has no such listener.
+  std::string m_Http;
+  std::string m_Link;
+};
+
+class Deployment {
+public:
+  Deployment();
+  ~Deployment();
+  Deployment(const Deployment &) = delete;
+  Deployment &operator=(const Deployment &) = delete;
+
+  void startLog(std::vector<std::string> Options = {});
+  /// The entry connects to every entry started before it. A fixed address
+  /// starts a replacement at the same place.
+  Node &startEntry(const std::string &HttpListen = "127.0.0.1:0",
+                   const std::string &LinkListen = "127.0.0.1:0");
+  /// The agent connects to \p Links, or to every entry started so far.
+  Node &startAgent(std::vector<std::string> Links = {},
+                   const std::string &FailureDomain = "quimper-a");
+  /// The endpoint announces itself to \p Agent. \p Options follow the usual
+  /// ones on its command line.
+  Node &startEndpoint(const Node &Agent, std::vector<std::string> Options = {});
+  Node &startRelay(const std::string &Target);
+
+  /// Log, \p Entries entries and \p Agents agents with an endpoint each, with
+  /// the test configuration published and every entry connected to every agent.
+  void startWhole(std::size_t Entries, std::size_t Agents,
+                  const std::vector<std::string> &EndpointOptions = {});
+
+  /// Publishes configuration text through the command line; returns its exit
+  /// code.
+  int publish(const std::string &Document);
+  /// Runs the command line; returns its exit code and puts its output into
+  /// \p Output when given.
+  int runCli(std::vector<std::string> Arguments, std::string *Output = nullptr);
+
+  /// Waits until every entry is ready and has \p Agents agents.
+  void waitForAgents(std::size_t Agents);
+  /// Waits until \p Done is true; throws with \p What after \p Limit.
+  static void waitUntil(const std::function<bool()> &Done,
+                        const std::string &What,
+                        std::chrono::milliseconds Limit);
+
+  /// GET of a JSON document; null when there is no valid answer.
+  static nlohmann::json getJson(const std::string &Address,
+                                const std::string &Target);
+  /// One request to a service; throws when the connection breaks.
+  static HttpResponse call(const std::string &Entry, const std::string &Body,
+                           const HttpHeaders &Headers = {});
+  /// One job; \p Tasks are the task bodies.
+  static HttpResponse submit(const std::string &Entry,
+                             const std::vector<std::string> &Tasks,
+                             const HttpHeaders &Headers = {});
+  static void postMode(const Node &Target, const std::string &Json);
+
+  /// Sums a member of GET /starts over all endpoints.
+  std::uint64_t sumStarts(const std::string &Member);
+
+  Node m_Log;
+  std::vector<std::unique_ptr<Node>> m_Entries;
+  std::vector<std::unique_ptr<Node>> m_Agents;
+  std::vector<std::unique_ptr<Node>> m_Endpoints;
+  std::vector<std::unique_ptr<Node>> m_Relays;
+
+  /// Configuration with the service "permit-desk", one team and the presets
+  /// ordinary, peak and maintenance.
+  static const char TestConfiguration[];
+
+private:
+  std::string fileFor(const std::string &Name) const;
+  std::string writeFile(const std::string &Name, const std::string &Text);
+
+  /// Removed by the destructor.
+  std::string m_Folder;
+  std::size_t m_Started = 0;
+};
+
+} // namespace cyclamencroft::test
