--- /dev/null
+++ b/src/bench/StandinEndpoint.h
@@ -0,0 +1,89 @@
+// Endpoint for tests and the bench: announces itself to its agent, runs tasks
+// by waiting, and can be told to misbehave.
+#pragma once
+
+#include "bench/StartCounts.h"
+#include "core/Messages.h"
+#include "core/RuntimeClock.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cyclamencroft {
+
+enum class StandinMode : std::uint8_t {
+  Normal,
+  Fail,     ///< Answers 500 at once.
+  Straggle, ///< Runs each task several times as long.
+  Hang,     ///< Never answers.
+  Late,     ///< Answers after an additional delay.
+  Truncate, ///< Declares more than it sends.
+  Leave,    ///< Has told its agent that it leaves; ends what it runs.
+};
+
+/// Nothing for a name that is no mode.
+std::optional<StandinMode> standinModeNamed(std::string_view Name);
+std::string_view toString(StandinMode Mode);
+
+struct StandinOptions {
+  std::string m_Service = "permit-desk";
+  /// "IP:port"; port 0 takes a free one.
+  std::string m_Listen = "127.0.0.1:0";
+  /// HTTP address of the agent; empty announces nothing.
+  std::string m_AgentAddress;
+  std::uint32_t m_Slots = 8;
+  std::uint32_t m_Connections = 64;
+  Size m_Size;
+  /// Run time of a task whose body doesn't begin with "run-ms=N ".
+  Duration m_RunTime{std::chrono::milliseconds(100)};
+  Duration m_AnnounceInterval{std::chrono::seconds(1)};
+  StandinMode m_Mode = StandinMode::Normal;
+  std::uint32_t m_StragglerFactor = 10;
+  Duration m_LateBy{std::chrono::seconds(5)};
+};
+
+/// `POST /run` runs a task; the response repeats request id and task index, so
+/// that a mismatch is seen, and has as many bytes as "answer-bytes=N " after
+/// the run time asks for. `GET /starts` returns the counts. `POST /mode` with
+/// JSON `{"mode", "factor", "late_ms"}` changes the mode.
+///
+/// \p Io is run by one thread; functions are called on it or while it isn't
+/// running, except where noted.
+class StandinEndpoint {
+public:
+  /// Listens; throws std::runtime_error when the address can't be used.
+  StandinEndpoint(boost::asio::io_context &Io, StandinOptions Options);
+  /// Same as stop().
+  ~StandinEndpoint();
+  StandinEndpoint(const StandinEndpoint &) = delete;
+  StandinEndpoint &operator=(const StandinEndpoint &) = delete;
+
+  /// "IP:port" of the listener.
+  std::string address() const;
+
+  /// Announces at once and then at each interval.
+  void start();
+
+  /// Safe from any thread.
+  void setMode(StandinMode Mode);
+
+  /// Safe from any thread.
+  StartTotals totals() const;
+  std::uint32_t peakConnections() const;
+
+  /// Closes the listener and every connection; announces no more.
+  void stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace cyclamencroft
