Add the configuration watcher, the command line and examples

Cause: entries follow the configuration stream, operators publish on it, callers need a client whose exit codes tell refused from unknown.

Ruled out: adopting the states that a replay passes over, since an entry would serve with an old version; a wait of 25 s for a long poll, since a connection that died silently would be noticed after the 7 s for a change.

--- /dev/null
+++ b/src/cli/Commands.h
@@ -0,0 +1,32 @@
+// Groups of subcommands. Each adds its commands with callbacks that leave a
+// result in the sink.
+#pragma once
+
+#include "cli/CommandResult.h"
+
+#include <optional>
+#include <string>
+
+namespace CLI {
+class App;
+}
+
+namespace cyclamencroft {
+
+struct CommandSink {
+  std::optional<CommandResult> m_Result;
+};
+
+void addCallerCommands(CLI::App &App, CommandSink &Sink);
+void addConfigCommands(CLI::App &App, CommandSink &Sink);
+void addSettingsCommands(CLI::App &App, CommandSink &Sink);
+
+/// Adds the required option --entry or --log with its check and environment
+/// variable.
+void addEntryOption(CLI::App &Command, std::string &Address);
+void addLogOption(CLI::App &Command, std::string &Address);
+
+/// Text of docs/reference.md.
+std::string referencePage();
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/cli/ConfigCommands.cpp
@@ -0,0 +1,259 @@
+// config check, publish and show; preset show and switch.
+#include "cli/Commands.h"
+#include "cli/ConfigPublisher.h"
+#include "cli/EntryCalls.h"
+#include "config/ConfigDocument.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+namespace cyclamencroft {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// What the options of one command are parsed into.
+struct ConfigArguments {
+  std::string m_File;
+  std::string m_Preset;
+  std::string m_Log;
+  std::string m_Entry;
+  std::string m_Author;
+  ConfigVersion m_Base = 0;
+  bool m_HasBase = false;
+};
+using ArgumentsPtr = std::shared_ptr<ConfigArguments>;
+
+ExitCode exitCodeOf(PublishEnd End) {
+  switch (End) {
+  case PublishEnd::Accepted:
+    return ExitCode::Done;
+  case PublishEnd::Rejected:
+    return ExitCode::Invalid;
+  case PublishEnd::LostRace:
+    return ExitCode::LostRace;
+  case PublishEnd::NotReachable:
+    return ExitCode::NotReachable;
+  case PublishEnd::Unknown:
+    break;
+  }
+  return ExitCode::Failed;
+}
+
+CommandResult runPublish(const ConfigArguments &Arguments,
+                         const ConfigRecord &Change) {
+  PublishRequest Request;
+  Request.m_LogAddress = Arguments.m_Log;
+  if (Arguments.m_HasBase)
+    Request.m_Base = Arguments.m_Base;
+  Request.m_Author = Arguments.m_Author;
+  Request.m_Change = Change;
+  const PublishOutcome Outcome = publish(Request);
+  const Json Fields{{"result", Outcome.m_Detail},
+                    {"version", Outcome.m_Version},
+                    {"change", Outcome.m_ChangeId}};
+  return makeResult(exitCodeOf(Outcome.m_End), Fields, Outcome.m_Detail + '\n');
+}
+
+/// Names of a map, for reports.
+template <class T> std::vector<std::string> namesOf(const T &Map) {
+  std::vector<std::string> Names;
+  Names.reserve(Map.size());
+  for (const auto &Item : Map)
+    Names.push_back(Item.first);
+  return Names;
+}
+
+CommandResult checkDocument(const std::string &File) {
+  FaultList Faults(File);
+  const std::string Text = readTextFile(File, Faults);
+  if (!Faults.empty())
+    return makeFaults(Faults.faults());
+  const auto Document = parseConfigDocument(Text, Faults);
+  if (!Document)
+    return makeFaults(Faults.faults());
+  const Configuration &Config = Document->m_Configuration;
+  const Json Fields{{"file", File},
+                    {"valid", true},
+                    {"services", namesOf(Config.m_Services)},
+                    {"teams", Config.m_Teams.size()},
+                    {"presets", namesOf(Config.m_Presets)},
+                    {"preset", Document->m_Preset}};
+  return makeResult(ExitCode::Done, Fields);
+}
+
+CommandResult publishFile(const ConfigArguments &Arguments) {
+  CommandResult Checked = checkDocument(Arguments.m_File);
+  if (Checked.m_Code != ExitCode::Done)
+    return Checked;
+  FaultList Faults(Arguments.m_File);
+  DocumentChange Change;
+  Change.m_Document = readTextFile(Arguments.m_File, Faults);
+  return runPublish(Arguments, Change);
+}
+
+/// The configuration in effect, from the log or from an entry.
+std::optional<ConfigTransfer> readInEffect(const ConfigArguments &Arguments,
+                                           CommandResult &Failure) {
+  if (!Arguments.m_Entry.empty())
+    return fetchConfig(Arguments.m_Entry, Failure);
+  StreamReader Reader(Arguments.m_Log);
+  if (const auto Fault = Reader.catchUp()) {
+    Failure = makeFailure(ExitCode::NotReachable, Fault->describe());
+    return std::nullopt;
+  }
+  const ConfigStatePtr State = Reader.judge().adopted();
+  if (!Reader.judge().isCurrent() || !State) {
+    Failure = makeFailure(ExitCode::Failed,
+                          Reader.judge().isCurrent()
+                              ? "no configuration has been accepted yet"
+                              : "the version in effect is not known: the log "
+                                "is truncated and has no usable snapshot");
+    return std::nullopt;
+  }
+  return ConfigTransfer{State->m_Version, State->m_Offset, State->m_PresetName,
+                        State->m_Document};
+}
+
+CommandResult showConfig(const ConfigArguments &Arguments) {
+  CommandResult Failure;
+  const auto State = readInEffect(Arguments, Failure);
+  if (!State)
+    return Failure;
+  const Json Fields{{"version", State->m_Version},
+                    {"offset", State->m_Offset},
+                    {"preset", State->m_Preset},
+                    {"document", State->m_Document}};
+  // Comments, so that the output is a document that can be published again.
+  return makeResult(ExitCode::Done, Fields,
+                    "# version " + std::to_string(State->m_Version) +
+                        ", preset in effect " + State->m_Preset + '\n' +
+                        State->m_Document);
+}
+
+CommandResult showPreset(const ConfigArguments &Arguments) {
+  CommandResult Failure;
+  const auto State = readInEffect(Arguments, Failure);
+  if (!State)
+    return Failure;
+  FaultList Faults("document");
+  const auto Document = parseConfigDocument(State->m_Document, Faults);
+  if (!Document)
+    return makeFaults(Faults.faults());
+  const Json Fields{{"preset", State->m_Preset},
+                    {"version", State->m_Version},
+                    {"presets", namesOf(Document->m_Configuration.m_Presets)}};
+  return makeResult(ExitCode::Done, Fields);
+}
+
+void addPublishOptions(CLI::App &Command, const ArgumentsPtr &Arguments) {
+  addLogOption(Command, Arguments->m_Log);
+  Command
+      .add_option_function<ConfigVersion>(
+          "--base",
+          [Arguments](const ConfigVersion &Base) {
+            Arguments->m_Base = Base;
+            Arguments->m_HasBase = true;
+          },
+          "version that the change was made from; the one in effect when "
+          "left out")
+      ->type_name("VERSION");
+  Arguments->m_Author = "operator";
+  Command
+      .add_option("--author", Arguments->m_Author,
+                  "name that the log keeps with the change")
+      ->envname("USER")
+      ->capture_default_str();
+}
+
+void addSourceOptions(CLI::App &Command, const ArgumentsPtr &Arguments) {
+  CLI::Option_group *Source = Command.add_option_group(
+      "source", "where to read the configuration in effect");
+  addLogOption(*Source, Arguments->m_Log);
+  addEntryOption(*Source, Arguments->m_Entry);
+  for (CLI::Option *Address : Source->get_options())
+    Address->required(false);
+  Source->require_option(1);
+}
+
+CLI::App *addCommand(CLI::App &Parent, const char *Name, const char *Help,
+                     CommandSink &Sink, const ArgumentsPtr &Arguments,
+                     CommandResult (*Run)(const ConfigArguments &)) {
+  CLI::App *Command = Parent.add_subcommand(Name, Help);
+  Command->callback(
+      [&Sink, Arguments, Run] { Sink.m_Result = Run(*Arguments); });
+  return Command;
+}
+
+CLI::App *addGroup(CLI::App &App, const char *Name, const char *Help) {
+  CLI::App *Group = App.add_subcommand(Name, Help);
+  Group->require_subcommand(1);
+  Group->fallthrough();
+  return Group;
+}
+
+void addConfigGroup(CLI::App &App, CommandSink &Sink) {
+  CLI::App *Config = addGroup(App, "config", "Configuration document");
+  auto Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Check =
+      addCommand(*Config, "check",
+                 "Check a document and report every fault.\n"
+                 "Example: cyclamencroft config check configuration.toml",
+                 Sink, Arguments, [](const ConfigArguments &Given) {
+                   return checkDocument(Given.m_File);
+                 });
+  Check->add_option("FILE", Arguments->m_File, "document (TOML)")->required();
+
+  Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Publish = addCommand(
+      *Config, "publish",
+      "Publish a document and wait until it is accepted or rejected. Of "
+      "changes with one base the first in the log wins.\nExample: "
+      "cyclamencroft config publish configuration.toml --log 127.0.0.1:7000 "
+      "--base 4",
+      Sink, Arguments, publishFile);
+  Publish->add_option("FILE", Arguments->m_File, "document (TOML)")->required();
+  addPublishOptions(*Publish, Arguments);
+
+  Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Show = addCommand(
+      *Config, "show",
+      "Print the document in effect, from the log or from an entry.\n"
+      "Example: cyclamencroft config show --entry 127.0.0.1:8080",
+      Sink, Arguments, showConfig);
+  addSourceOptions(*Show, Arguments);
+}
+
+void addPresetGroup(CLI::App &App, CommandSink &Sink) {
+  CLI::App *Presets = addGroup(App, "preset", "Preset in effect");
+  auto Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Show =
+      addCommand(*Presets, "show",
+                 "Print the preset in effect and those of the document.\n"
+                 "Example: cyclamencroft preset show --log 127.0.0.1:7000",
+                 Sink, Arguments, showPreset);
+  addSourceOptions(*Show, Arguments);
+
+  Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Switch = addCommand(
+      *Presets, "switch",
+      "Put a preset in effect and wait until that is accepted or rejected.\n"
+      "Example: cyclamencroft preset switch maintenance --log 127.0.0.1:7000",
+      Sink, Arguments, [](const ConfigArguments &Given) {
+        return runPublish(Given, PresetSwitch{{}, Given.m_Preset});
+      });
+  Switch->add_option("NAME", Arguments->m_Preset, "preset of the document")
+      ->required();
+  addPublishOptions(*Switch, Arguments);
+}
+
+} // namespace
+
+void addConfigCommands(CLI::App &App, CommandSink &Sink) {
+  addConfigGroup(App, Sink);
+  addPresetGroup(App, Sink);
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/cli/ConfigPublisher.h
@@ -0,0 +1,70 @@
+// Publishes a change on the configuration stream and reads back what became of
+// it.
+#pragma once
+
+#include "config/ConfigJudge.h"
+#include "core/Error.h"
+#include "core/RuntimeClock.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// Reads the stream from its first record kept and judges it.
+class StreamReader {
+public:
+  explicit StreamReader(std::string LogAddress);
+
+  /// Reads up to the end of the log; the log waits up to \p Wait when there is
+  /// nothing to read. Nothing on success.
+  std::optional<Error> catchUp(Duration Wait = {});
+
+  const ConfigJudge &judge() const { return m_Judge; }
+
+  /// The final decision on a change; null while there is none.
+  const Judgement *decisionOn(const std::string &ChangeId) const;
+  /// The change that made \p Version; null when it is no longer in the log.
+  const Judgement *makerOf(ConfigVersion Version) const;
+
+private:
+  std::string m_LogAddress;
+  ConfigJudge m_Judge;
+  std::vector<Judgement> m_Decisions;
+};
+
+enum class PublishEnd {
+  Accepted,     ///< In effect from m_Version on.
+  Rejected,     ///< Not valid on the version in effect.
+  LostRace,     ///< Another change made m_Version first.
+  Unknown,      ///< It may still come into effect.
+  NotReachable, ///< Nothing was sent.
+};
+
+struct PublishOutcome {
+  PublishEnd m_End = PublishEnd::Unknown;
+  /// Version in effect as far as it is known.
+  ConfigVersion m_Version = 0;
+  std::string m_ChangeId;
+  /// One sentence for people.
+  std::string m_Detail;
+};
+
+struct PublishRequest {
+  std::string m_LogAddress;
+  /// Version that the change was made from; the one in effect when absent.
+  std::optional<ConfigVersion> m_Base;
+  std::string m_Author;
+  /// DocumentChange or PresetSwitch; its header is filled in.
+  ConfigRecord m_Change;
+  /// How long to look for the change after the append.
+  Duration m_ReadBack{std::chrono::seconds(10)};
+};
+
+/// Appends once at most. A lost reply is resolved by re-reading the log for
+/// the change id.
+PublishOutcome publish(const PublishRequest &Request);
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/cli/EntryCalls.cpp
@@ -0,0 +1,241 @@
+// Maps outcomes of an entry to exit codes. A call whose response was lost has
+// an unknown outcome, unless it never connected.
+#include "cli/EntryCalls.h"
+
+#include "http/HttpClient.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <functional>
+#include <random>
+
+namespace cyclamencroft {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Time beyond the deadline in which the entry still answers.
+constexpr std::chrono::seconds AnswerSlack{5};
+/// Used when the caller names no deadline; above any service's default.
+constexpr std::chrono::minutes LongestAnswer{10};
+constexpr std::chrono::seconds OperatorTimeout{5};
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+/// Statuses for input that the entry's HTTP server or parser rejects.
+constexpr unsigned InvalidStatuses[] = {400, 404, 405, 413, 414, 431};
+
+std::string drawRequestId() {
+  std::random_device Source;
+  std::uniform_int_distribution<std::uint64_t> Draw;
+  return RequestId{Draw(Source), Draw(Source)}.toHex();
+}
+
+std::string formatNeed(const Size &Need) {
+  return "cores=" + std::to_string(Need.m_Cores) +
+         ",memory-mib=" + std::to_string(Need.m_MemoryMiB) +
+         ",accelerators=" + std::to_string(Need.m_Accelerators);
+}
+
+bool isAnything(const Size &Need) { return !Size{}.holds(Need); }
+
+CommandResult callFailed(const Error &Fault, const std::string &RequestId) {
+  const bool Sent = Fault.m_Step != "connect";
+  const Json Fields{{"outcome", Sent ? "unknown" : "not-run"},
+                    {"error", Fault.describe()},
+                    {"request", RequestId}};
+  return makeResult(Sent ? ExitCode::Failed : ExitCode::NotReachable, Fields);
+}
+
+using Reaction = std::function<CommandResult(const HttpResponse &)>;
+
+CommandResult callEntry(const HttpCall &Call, const std::string &RequestId,
+                        const Reaction &React) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<CommandResult> {
+        BOOST_LEAF_AUTO(Response, httpCall(Call));
+        return React(Response);
+      },
+      [&](const Error &Fault) { return callFailed(Fault, RequestId); },
+      [] { return makeFailure(ExitCode::Failed, "unexpected error"); });
+}
+
+struct CallerFields {
+  std::string m_Team;
+  std::uint32_t m_DeadlineMs;
+  Size m_Need;
+};
+
+HttpCall makePost(const std::string &Entry, const std::string &Target,
+                  const std::string &RequestId, const CallerFields &Fields) {
+  HttpCall Call;
+  Call.m_Address = Entry;
+  Call.m_Method = "POST";
+  Call.m_Target = Target;
+  Call.m_Headers.emplace_back("Cyclamencroft-Request-Id", RequestId);
+  if (!Fields.m_Team.empty())
+    Call.m_Headers.emplace_back("Cyclamencroft-Team", Fields.m_Team);
+  if (isAnything(Fields.m_Need))
+    Call.m_Headers.emplace_back("Cyclamencroft-Need",
+                                formatNeed(Fields.m_Need));
+  Call.m_Timeout = LongestAnswer;
+  if (Fields.m_DeadlineMs > 0) {
+    Call.m_Headers.emplace_back("Cyclamencroft-Deadline-Ms",
+                                std::to_string(Fields.m_DeadlineMs));
+    Call.m_Timeout =
+        std::chrono::milliseconds(Fields.m_DeadlineMs) + AnswerSlack;
+  }
+  return Call;
+}
+
+/// Adds the members of a JSON response; any other body is kept as text.
+void addBody(Json &Fields, const std::string &Body) {
+  const Json Parsed = Json::parse(Body, nullptr, false);
+  if (!Parsed.is_object()) {
+    Fields["body"] = Body;
+    return;
+  }
+  for (const auto &[Name, Value] : Parsed.items())
+    Fields[Name] = Value;
+}
+
+ExitCode exitCodeOf(std::string_view Outcome, unsigned Status) {
+  if (Outcome == "completed")
+    return ExitCode::Done;
+  if (Outcome == "not-run")
+    return ExitCode::Refused;
+  for (const unsigned Invalid : InvalidStatuses)
+    if (Outcome.empty() && Status == Invalid)
+      return ExitCode::Invalid;
+  return ExitCode::Failed;
+}
+
+HttpCall makeOperatorCall(const std::string &Entry, const std::string &Method,
+                          const std::string &Target) {
+  HttpCall Call;
+  Call.m_Address = Entry;
+  Call.m_Method = Method;
+  Call.m_Target = Target;
+  Call.m_Timeout = OperatorTimeout;
+  return Call;
+}
+
+CommandResult unexpectedStatus(const HttpResponse &Response) {
+  Json Fields{{"status", Response.m_Status}};
+  addBody(Fields, Response.m_Body);
+  return makeResult(ExitCode::Failed, Fields);
+}
+
+} // namespace
+
+std::optional<Size> parseNeed(std::string_view Text) {
+  const std::pair<std::string_view, std::uint32_t Size::*> Parts[] = {
+      {"cores=", &Size::m_Cores},
+      {"memory-mib=", &Size::m_MemoryMiB},
+      {"accelerators=", &Size::m_Accelerators}};
+  Size Need;
+  while (!Text.empty()) {
+    const std::string_view Part = Text.substr(0, Text.find(','));
+    Text.remove_prefix(std::min(Text.size(), Part.size() + 1));
+    bool Known = false;
+    for (const auto &[Name, Member] : Parts) {
+      if (Part.substr(0, Name.size()) != Name)
+        continue;
+      const char *End = Part.data() + Part.size();
+      const auto Read =
+          std::from_chars(Part.data() + Name.size(), End, Need.*Member);
+      Known = Read.ec == std::errc() && Read.ptr == End;
+    }
+    if (!Known)
+      return std::nullopt;
+  }
+  return Need;
+}
+
+CommandResult judgeResponse(const HttpResponse &Response,
+                            const std::string &RequestId) {
+  const std::string_view Outcome = Response.header("Cyclamencroft-Outcome");
+  const ExitCode Code = exitCodeOf(Outcome, Response.m_Status);
+  Json Fields{{"outcome", Outcome}, {"status", Response.m_Status}};
+  if (Code == ExitCode::Done)
+    Fields["body"] = Response.m_Body;
+  else
+    addBody(Fields, Response.m_Body);
+  Fields["request"] = RequestId;
+  if (Code == ExitCode::Done)
+    return makeResult(Code, Fields, Response.m_Body + '\n');
+  return makeResult(Code, Fields);
+}
+
+CommandResult sendRequest(const RequestOptions &Options) {
+  const std::string Id = drawRequestId();
+  HttpCall Call = makePost(
+      Options.m_Entry, "/v1/services/" + Options.m_Service + "/requests", Id,
+      {Options.m_Team, Options.m_DeadlineMs, Options.m_Need});
+  if (Options.m_NonIdempotent)
+    Call.m_Headers.emplace_back("Cyclamencroft-Non-Idempotent", "true");
+  if (!Options.m_Key.empty())
+    Call.m_Headers.emplace_back("Cyclamencroft-Key", Options.m_Key);
+  Call.m_Body = Options.m_Body;
+  return callEntry(Call, Id, [&Id](const HttpResponse &Response) {
+    return judgeResponse(Response, Id);
+  });
+}
+
+CommandResult submitJob(const std::string &Entry, const JobFile &Job) {
+  const std::string Id = drawRequestId();
+  const Size Need{Job.m_Cores, Job.m_MemoryMiB, Job.m_Accelerators};
+  HttpCall Call = makePost(Entry, "/v1/services/" + Job.m_Service + "/jobs", Id,
+                           {Job.m_Team, Job.m_DeadlineMs, Need});
+  Call.m_Headers.emplace_back("Content-Type", "application/json");
+  Call.m_Body = Json{{"tasks", Job.m_Tasks}}.dump(
+      -1, ' ', false, Json::error_handler_t::replace);
+  return callEntry(Call, Id, [&Id](const HttpResponse &Response) {
+    return judgeResponse(Response, Id);
+  });
+}
+
+CommandResult cancelRequest(const std::string &Entry, const std::string &Id) {
+  const HttpCall Call = makeOperatorCall(Entry, "DELETE", "/v1/requests/" + Id);
+  return callEntry(Call, Id, [&Id](const HttpResponse &Response) {
+    if (Response.m_Status != Accepted)
+      return unexpectedStatus(Response);
+    return makeResult(ExitCode::Done, {{"cancelled", Id}});
+  });
+}
+
+CommandResult showStatus(const std::string &Entry) {
+  const HttpCall Call = makeOperatorCall(Entry, "GET", "/v1/status");
+  return callEntry(Call, "", [](const HttpResponse &Response) {
+    if (Response.m_Status != Ok)
+      return unexpectedStatus(Response);
+    Json Fields = Json::object();
+    addBody(Fields, Response.m_Body);
+    return makeResult(ExitCode::Done, Fields);
+  });
+}
+
+std::optional<ConfigTransfer> fetchConfig(const std::string &Entry,
+                                          CommandResult &Failure) {
+  const HttpCall Call = makeOperatorCall(Entry, "GET", "/v1/config");
+  std::optional<ConfigTransfer> State;
+  Failure = callEntry(Call, "", [&State](const HttpResponse &Response) {
+    const Json Body = Json::parse(Response.m_Body, nullptr, false);
+    if (Response.m_Status != Ok || !Body.is_object())
+      return unexpectedStatus(Response);
+    try {
+      State = ConfigTransfer{Body.at("version").get<ConfigVersion>(),
+                             Body.at("offset").get<std::uint64_t>(),
+                             Body.at("preset").get<std::string>(),
+                             Body.at("document").get<std::string>()};
+    } catch (const std::exception &) {
+      return unexpectedStatus(Response);
+    }
+    return CommandResult{};
+  });
+  return State;
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/config/ConfigWatcher.cpp
@@ -0,0 +1,313 @@
+// One read is open at a time; a mutex serialises handlers when the context has
+// several threads.
+#include "config/ConfigWatcher.h"
+
+#include "config/LogProtocol.h"
+#include "telemetry/EventLog.h"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <mutex>
+
+namespace cyclamencroft {
+namespace {
+
+using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+
+/// Pause after a read without records; bounds the load when a log doesn't
+/// wait.
+constexpr std::chrono::milliseconds EmptyReadPause{20};
+
+std::string show(std::uint64_t Number) { return std::to_string(Number); }
+
+const char *nameOf(Decision Value) {
+  switch (Value) {
+  case Decision::Accepted:
+    return "accepted";
+  case Decision::Rejected:
+    return "rejected";
+  case Decision::Ignored:
+    return "ignored";
+  case Decision::Held:
+    return "held";
+  }
+  return "";
+}
+
+void logJudgement(const Judgement &Value) {
+  const auto Level =
+      Value.m_Decision == Decision::Ignored ? LogLevel::Debug : LogLevel::Info;
+  logEvent(Level, "config_record",
+           {{"offset", show(Value.m_Offset)},
+            {"decision", nameOf(Value.m_Decision)},
+            {"change", Value.m_Header.m_ChangeId},
+            {"author", Value.m_Header.m_Author},
+            {"version", show(Value.m_Version)},
+            {"reason", Value.m_Reason}});
+}
+
+} // namespace
+
+class ConfigWatcher::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(boost::asio::io_context &Io, std::string LogAddress,
+       std::function<void(ConfigStatePtr)> OnAdopted,
+       const ConfigWatcherOptions &Options)
+      : m_Io(Io), m_LogAddress(std::move(LogAddress)),
+        m_OnAdopted(std::move(OnAdopted)), m_Options(Options),
+        m_Random(std::random_device{}()),
+        m_Policy(Options.m_Snapshots, m_Random()), m_PollTimer(Io),
+        m_SnapshotTimer(Io) {}
+
+  void start() {
+    post([](Impl &Self) { Self.read(); });
+  }
+
+  void stop() {
+    const std::lock_guard Lock(m_Mutex);
+    m_Stopped = true;
+    for (const auto &Abandon : {m_AbandonRead, m_AbandonAppend})
+      if (Abandon)
+        Abandon();
+    m_PollTimer.cancel();
+    m_SnapshotTimer.cancel();
+  }
+
+  void offer(const ConfigTransfer &Transfer) {
+    post([Transfer](Impl &Self) { Self.takeOffer(Transfer); });
+  }
+
+private:
+  /// Runs \p Work under the mutex unless the watcher has been stopped.
+  template <class F> void guarded(F Work) {
+    const std::lock_guard Lock(m_Mutex);
+    if (!m_Stopped)
+      Work(*this);
+  }
+
+  template <class F> void post(F Work) {
+    boost::asio::post(m_Io, [Self = shared_from_this(),
+                             Work = std::move(Work)] { Self->guarded(Work); });
+  }
+
+  template <class F> void at(Timer &When, TimePoint Time, F Work) {
+    When.expires_at(Time);
+    When.async_wait([Self = shared_from_this(), Work](auto Fault) {
+      if (!Fault)
+        Self->guarded(Work);
+    });
+  }
+
+  void read() {
+    const HttpCall Call =
+        makeLogRead(m_LogAddress, m_Judge.nextOffset(), m_Options.m_PollWait);
+    const auto Done = [Self = shared_from_this()](HttpOutcome Outcome) {
+      Self->guarded([&Outcome](Impl &Own) {
+        Own.readDone(parseLogRead(Own.m_LogAddress, std::move(Outcome)));
+      });
+    };
+    m_AbandonRead = httpCallAsync(m_Io, Call, Done);
+  }
+
+  void readDone(const LogReadOutcome &Outcome) {
+    m_AbandonRead = nullptr;
+    if (const auto *Batch = std::get_if<LogBatch>(&Outcome))
+      batchRead(*Batch);
+    else if (const auto *Truncated = std::get_if<LogTruncated>(&Outcome))
+      truncated(*Truncated);
+    else
+      readFailed(std::get<Error>(Outcome));
+  }
+
+  void batchRead(const LogBatch &Batch) {
+    readSucceeded();
+    for (const LogRecord &Record : Batch.m_Records)
+      for (const auto &Value : m_Judge.consume(Record.m_Offset, Record.m_Data))
+        logJudgement(Value);
+    reportRewind(Batch);
+    m_First = Batch.m_First;
+    m_Next = Batch.m_Next;
+    if (m_Judge.nextOffset() >= m_Next)
+      caughtUp();
+    if (Batch.m_Records.empty())
+      readAfter(EmptyReadPause);
+    else
+      read();
+  }
+
+  void caughtUp() {
+    tellAdopted();
+    if (!m_Judge.isCurrent() && !m_ReportedUnknown)
+      logEvent(LogLevel::Warning, "config_version_unknown",
+               {{"first", show(m_First)},
+                {"reason", "the log is truncated and has no snapshot that "
+                           "covers the gap"}});
+    m_ReportedUnknown = !m_Judge.isCurrent();
+    scheduleSnapshot();
+  }
+
+  void truncated(const LogTruncated &Answer) {
+    readSucceeded();
+    if (Answer.m_First <= m_Asked)
+      return readFailed(
+          {"read log", m_LogAddress, "status 410 although the record is kept"});
+    logEvent(LogLevel::Warning, "config_log_truncated",
+             {{"wanted", show(m_Asked)},
+              {"first", show(Answer.m_First)}});
+    m_Judge.truncatedTo(Answer.m_First);
+    read();
+  }
+
+  /// An append-only log never shrinks; one that does has lost accepted
+  /// changes, which an operator must know. The version in effect is kept.
+  void reportRewind(const LogBatch &Batch) {
+    const bool Rewound = Batch.m_Next < m_Judge.nextOffset();
+    if (Rewound && !m_ReportedRewind && Batch.m_Records.empty())
+      logEvent(LogLevel::Error, "config_log_rewound",
+               {{"expected", show(m_Judge.nextOffset())},
+                {"next", show(Batch.m_Next)}});
+    m_ReportedRewind = Rewound;
+  }
+
+  void readSucceeded() {
+    if (m_Failures > 0)
+      logEvent(LogLevel::Info, "config_log_reachable",
+               {{"peer", m_LogAddress}, {"failures", show(m_Failures)}});
+    m_Failures = 0;
+  }
+
+  void readFailed(const Error &Fault) {
+    ++m_Failures;
+    if (m_Failures == 1)
+      logEvent(LogLevel::Warning, "config_log_unreachable",
+               {{"peer", m_LogAddress},
+                {"step", Fault.m_Step},
+                {"reason", Fault.m_Message}});
+    readAfter(backoff());
+  }
+
+  /// Half to all of the doubled pause, so that entries don't return to a
+  /// recovering log all at once.
+  Duration backoff() {
+    constexpr std::uint64_t MostDoublings = 16;
+    const auto Doubled = m_Options.m_FirstBackoff.count()
+                         << std::min(m_Failures - 1, MostDoublings);
+    const auto Pause =
+        std::min<Duration::rep>(Doubled, m_Options.m_LongestBackoff.count());
+    std::uniform_int_distribution<Duration::rep> Spread(Pause / 2, Pause);
+    return Duration(Spread(m_Random));
+  }
+
+  void readAfter(Duration Pause) {
+    at(m_PollTimer, RuntimeClock::now() + Pause,
+       [](Impl &Self) { Self.read(); });
+  }
+
+  void takeOffer(const ConfigTransfer &Transfer) {
+    std::string Reason;
+    if (!m_Judge.offer(Transfer, Reason)) {
+      logEvent(LogLevel::Debug, "config_offer_refused",
+               {{"version", show(Transfer.m_Version)}, {"reason", Reason}});
+      return;
+    }
+    tellAdopted();
+  }
+
+  void tellAdopted() {
+    const ConfigStatePtr State = m_Judge.adopted();
+    if (!State || State->m_Version <= m_Told)
+      return;
+    m_Told = State->m_Version;
+    logEvent(LogLevel::Info, "config_adopted",
+             {{"version", show(State->m_Version)},
+              {"offset", show(State->m_Offset)},
+              {"preset", State->m_PresetName}});
+    m_OnAdopted(State);
+  }
+
+  void scheduleSnapshot() {
+    if (!m_Options.m_AppendsSnapshots || m_AbandonAppend)
+      return;
+    const auto Due =
+        m_Policy.due(RuntimeClock::now(), m_Judge, m_First, m_Next);
+    if (!Due)
+      m_SnapshotTimer.cancel();
+    else
+      at(m_SnapshotTimer, *Due, [](Impl &Self) { Self.appendSnapshot(); });
+  }
+
+  void appendSnapshot() {
+    const TimePoint Now = RuntimeClock::now();
+    if (m_AbandonAppend || !m_Policy.due(Now, m_Judge, m_First, m_Next))
+      return;
+    m_Policy.tried(Now);
+    const std::string Record = formatConfigRecord(m_Judge.makeSnapshot());
+    const auto Done = [Self = shared_from_this()](HttpOutcome Outcome) {
+      Self->guarded([&Outcome](Impl &Own) {
+        Own.appendDone(parseLogAppend(Own.m_LogAddress, std::move(Outcome)));
+      });
+    };
+    m_AbandonAppend =
+        httpCallAsync(m_Io, makeLogAppend(m_LogAddress, Record), Done);
+  }
+
+  void appendDone(const LogAppendOutcome &Outcome) {
+    m_AbandonAppend = nullptr;
+    if (const auto *Offset = std::get_if<std::uint64_t>(&Outcome))
+      logEvent(LogLevel::Info, "config_snapshot_appended",
+               {{"offset", show(*Offset)}});
+    else
+      logEvent(LogLevel::Warning, "config_snapshot_failed",
+               {{"reason", std::get<Error>(Outcome).describe()}});
+  }
+
+  boost::asio::io_context &m_Io;
+  const std::string m_LogAddress;
+  const std::function<void(ConfigStatePtr)> m_OnAdopted;
+  const ConfigWatcherOptions m_Options;
+
+  /// Guards everything below. Recursive, since OnAdopted may call stop().
+  std::recursive_mutex m_Mutex;
+  bool m_Stopped = false;
+  std::mt19937_64 m_Random;
+  ConfigJudge m_Judge;
+  SnapshotPolicy m_Policy;
+  Timer m_PollTimer;
+  Timer m_SnapshotTimer;
+  /// Set while the call is open.
+  std::function<void()> m_AbandonRead;
+  std::function<void()> m_AbandonAppend;
+  /// Offset that the open read starts from.
+  std::uint64_t m_Asked = 0;
+  /// The log's offsets in the last answer.
+  std::uint64_t m_First = 0;
+  std::uint64_t m_Next = 0;
+  /// Version last passed to m_OnAdopted.
+  ConfigVersion m_Told = 0;
+  /// Reads that failed since the last success.
+  std::uint64_t m_Failures = 0;
+  bool m_ReportedUnknown = false;
+  bool m_ReportedRewind = false;
+};
+
+ConfigWatcher::ConfigWatcher(boost::asio::io_context &Io,
+                             std::string LogAddress,
+                             std::function<void(ConfigStatePtr)> OnAdopted,
+                             ConfigWatcherOptions Options)
+    : m_Impl(std::make_shared<Impl>(Io, std::move(LogAddress),
+                                    std::move(OnAdopted), Options)) {}
+
+ConfigWatcher::~ConfigWatcher() { stop(); }
+
+void ConfigWatcher::start() { m_Impl->start(); }
+
+void ConfigWatcher::stop() { m_Impl->stop(); }
+
+void ConfigWatcher::offer(const ConfigTransfer &Transfer) {
+  m_Impl->offer(Transfer);
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/tests/unit/ConfigPublisherTest.cpp
@@ -0,0 +1,124 @@
+// Publishing against a stand-in log in the same process.
+#include "cli/ConfigPublisher.h"
+#include "ConfigSamples.h"
+#include "bench/StandinLog.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace cyclamencroft;
+using std::chrono::milliseconds;
+
+namespace {
+
+PublishRequest documentRequest(const StandinLog &Log, int QueueLimit = 100) {
+  PublishRequest Request;
+  Request.m_LogAddress = Log.address();
+  Request.m_Author = "jeanne";
+  Request.m_Change = DocumentChange{{}, sampleDocument(QueueLimit)};
+  Request.m_ReadBack = std::chrono::seconds(3);
+  return Request;
+}
+
+std::uint64_t appendsOf(const StandinLog &Log) {
+  return Log.counts().m_Appends;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigPublishing)
+
+// Guards against a lost reply that is resolved by a second append, or reported
+// as a failure although the change is in effect.
+BOOST_AUTO_TEST_CASE(LostReplyIsResolvedByReadingTheLog) {
+  StandinLog Log;
+  Log.setMode({LogDown::No, {}, 1});
+  const PublishOutcome Outcome = publish(documentRequest(Log));
+  BOOST_CHECK(Outcome.m_End == PublishEnd::Accepted);
+  BOOST_TEST(Outcome.m_Version == 1);
+  BOOST_TEST(appendsOf(Log) == 1);
+}
+
+// Guards against racing operators of whom both or none win.
+BOOST_AUTO_TEST_CASE(OfRacingOperatorsOneWinsAndTheOthersLearnWho) {
+  StandinLog Log;
+  std::vector<std::future<PublishOutcome>> Racing;
+  for (int I = 0; I < 4; ++I) {
+    PublishRequest Request = documentRequest(Log, I + 1);
+    Request.m_Base = 0;
+    Racing.push_back(
+        std::async(std::launch::async, [Request] { return publish(Request); }));
+  }
+  std::string Winner;
+  std::vector<std::string> Losers;
+  for (auto &Racer : Racing) {
+    const PublishOutcome Outcome = Racer.get();
+    if (Outcome.m_End == PublishEnd::Accepted) {
+      BOOST_TEST(Winner.empty());
+      Winner = Outcome.m_ChangeId;
+    } else {
+      BOOST_CHECK(Outcome.m_End == PublishEnd::LostRace);
+      BOOST_TEST(Outcome.m_Version == 1);
+      Losers.push_back(Outcome.m_Detail);
+    }
+  }
+  BOOST_TEST(!Winner.empty());
+  for (const std::string &Detail : Losers)
+    BOOST_TEST(Detail.find(Winner) != std::string::npos, Detail);
+}
+
+// Guards against a change made from an old version that replaces a newer one,
+// and against an append that could only be rejected.
+BOOST_AUTO_TEST_CASE(WrongBaseAndUnknownPresetAreRefusedWithoutAnAppend) {
+  StandinLog Log;
+  Log.append("config", documentRecord("a", 0, sampleDocument()));
+  PublishRequest Request = documentRequest(Log);
+  Request.m_Base = 0;
+  BOOST_CHECK(publish(Request).m_End == PublishEnd::LostRace);
+  Request.m_Base = 2;
+  BOOST_CHECK(publish(Request).m_End == PublishEnd::Rejected);
+  Request.m_Base.reset();
+  Request.m_Change = PresetSwitch{{}, "night"};
+  BOOST_CHECK(publish(Request).m_End == PublishEnd::Rejected);
+  BOOST_TEST(appendsOf(Log) == 0);
+  Request.m_Change = PresetSwitch{{}, "peak"};
+  BOOST_CHECK(publish(Request).m_End == PublishEnd::Accepted);
+}
+
+// Guards against publishing on a guessed version while the log is down, or
+// truncated without a snapshot.
+BOOST_AUTO_TEST_CASE(NothingIsSentWithoutTheVersionInEffect) {
+  StandinLog Log;
+  Log.setMode({LogDown::Unavailable, {}, 0});
+  BOOST_CHECK(publish(documentRequest(Log)).m_End == PublishEnd::NotReachable);
+  Log.setMode({});
+  Log.append("config", documentRecord("a", 0, sampleDocument()));
+  Log.append("config", presetRecord("b", 1, "peak"));
+  Log.truncate(1);
+  BOOST_CHECK(publish(documentRequest(Log)).m_End == PublishEnd::NotReachable);
+  BOOST_TEST(appendsOf(Log) == 0);
+  Log.append("config", snapshotRecord(2, 2, "peak"));
+  BOOST_TEST(publish(documentRequest(Log)).m_Version == 3);
+}
+
+// Guards against a report of success or failure while neither is known: the
+// log stops after the append was sent.
+BOOST_AUTO_TEST_CASE(OutageAfterTheAppendGivesAnUnknownOutcome) {
+  StandinLogOptions Slow;
+  Slow.m_AppendTime = milliseconds(400);
+  StandinLog Log(Slow);
+  PublishRequest Request = documentRequest(Log);
+  Request.m_ReadBack = milliseconds(800);
+  auto Publishing =
+      std::async(std::launch::async, [Request] { return publish(Request); });
+  std::this_thread::sleep_for(milliseconds(200));
+  Log.setMode({LogDown::Reset, {}, 0});
+  const PublishOutcome Outcome = Publishing.get();
+  BOOST_CHECK(Outcome.m_End == PublishEnd::Unknown);
+  BOOST_TEST(!Outcome.m_ChangeId.empty());
+  BOOST_TEST(appendsOf(Log) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/SnapshotPolicyTest.cpp
@@ -0,0 +1,108 @@
+// When a snapshot of the configuration is due.
+#include "config/SnapshotPolicy.h"
+#include "ConfigSamples.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cyclamencroft;
+
+namespace {
+
+const SnapshotLimits Limits{8, std::chrono::hours(1), std::chrono::seconds(10)};
+const TimePoint Start{std::chrono::hours(100)};
+
+/// A judge that read a document and \p Switches accepted preset switches.
+ConfigJudge judgeWith(std::uint64_t Switches) {
+  ConfigJudge Judge;
+  Judge.consume(0, documentRecord("d", 0, sampleDocument()));
+  for (std::uint64_t I = 1; I <= Switches; ++I)
+    Judge.consume(I, presetRecord("p", I, I % 2 ? "peak" : "ordinary"));
+  return Judge;
+}
+
+/// Appends the judge's own snapshot to what it reads.
+void readSnapshot(ConfigJudge &Judge) {
+  const std::string Text = formatConfigRecord(Judge.makeSnapshot());
+  Judge.consume(Judge.nextOffset(), Text);
+}
+
+bool isDue(const ConfigJudge &Judge, std::uint64_t First) {
+  SnapshotPolicy Policy(Limits, 1);
+  return Policy.due(Start, Judge, First, Judge.nextOffset()).has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigSnapshots)
+
+// Guards against an append for every change, which a log of several hundred
+// appends a second shared by all can't afford.
+BOOST_AUTO_TEST_CASE(SnapshotsAreSpacedByRecords) {
+  BOOST_TEST(!isDue(judgeWith(6), 0));
+  BOOST_TEST(isDue(judgeWith(7), 0));
+}
+
+// Guards against repeating a snapshot that is in the log already.
+BOOST_AUTO_TEST_CASE(EqualSnapshotIsNotRepeated) {
+  ConfigJudge Judge = judgeWith(7);
+  readSnapshot(Judge);
+  for (int I = 0; I < 20; ++I)
+    Judge.consume(Judge.nextOffset(), "rejected");
+  BOOST_TEST(!isDue(Judge, 0));
+}
+
+// Guards against retention that passes the only snapshot of a quiet stream.
+BOOST_AUTO_TEST_CASE(SnapshotIsRenewedBeforeRetentionPassesIt) {
+  ConfigJudge Judge = judgeWith(7);
+  readSnapshot(Judge); // Holds up to offset 8.
+  for (int I = 0; I < 11; ++I)
+    Judge.consume(Judge.nextOffset(), "rejected"); // The next offset is 20.
+  BOOST_TEST(!isDue(Judge, 4));
+  BOOST_TEST(isDue(Judge, 5));
+  BOOST_TEST(isDue(Judge, 15));
+  readSnapshot(Judge);
+  BOOST_TEST(!isDue(Judge, 5));
+}
+
+// Guards against a slow stream whose changes are in no snapshot for days.
+BOOST_AUTO_TEST_CASE(ChangeOlderThanThePeriodIsSnapshotted) {
+  const ConfigJudge Judge = judgeWith(1);
+  SnapshotPolicy Policy(Limits, 1);
+  BOOST_TEST(!Policy.due(Start, Judge, 0, 2));
+  BOOST_TEST(!Policy.due(Start + std::chrono::minutes(59), Judge, 0, 2));
+  BOOST_TEST(
+      Policy.due(Start + std::chrono::minutes(60), Judge, 0, 2).has_value());
+}
+
+// Guards against snapshots of a state that is not known or not complete.
+BOOST_AUTO_TEST_CASE(NoSnapshotWithoutTheVersionInEffect) {
+  ConfigJudge Empty;
+  SnapshotPolicy Policy(Limits, 1);
+  BOOST_TEST(!Policy.due(Start, Empty, 0, 0));
+  ConfigJudge Judge = judgeWith(7);
+  BOOST_TEST(!Policy.due(Start, Judge, 0, 9)); // One record is unread.
+  Judge.truncatedTo(30);
+  BOOST_TEST(!Policy.due(Start, Judge, 30, 30));
+}
+
+// Guards against all entries appending at once, and against a second append
+// before the first one's lost reply could be read back.
+BOOST_AUTO_TEST_CASE(EntriesSpreadAndDontRetryAtOnce) {
+  const ConfigJudge Judge = judgeWith(7);
+  std::vector<TimePoint> Times;
+  for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
+    SnapshotPolicy Policy(Limits, Seed);
+    const TimePoint Due = *Policy.due(Start, Judge, 0, 8);
+    BOOST_CHECK(Due >= Start && Due <= Start + Limits.m_Jitter);
+    BOOST_CHECK(Policy.due(Start + std::chrono::seconds(1), Judge, 0, 8) ==
+                Due);
+    Policy.tried(Due);
+    BOOST_CHECK(*Policy.due(Due, Judge, 0, 8) >= Due + Limits.m_Jitter);
+    Times.push_back(Due);
+  }
+  const auto [Lowest, Highest] =
+      std::minmax_element(Times.begin(), Times.end());
+  BOOST_CHECK(*Highest - *Lowest > Limits.m_Jitter / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
