Add the HTTP server and client

HttpServer accepts on any number of io_context threads; each connection runs on its strand and reads one request at a time. Limits: header 8 KiB (431), body (413), slow sender 5 s from the first byte (408), connections (503), slow reader 30 s, idle connection 5 min. While a request is handled the socket is watched with a peek, so that a departed caller is noticed; a pipelined request hides the departure until the response, which costs only work, not correctness. After the last response input is discarded for up to 1 s, because closing a socket with unread input resets it and may destroy the response (not observed; RFC 9112, 9.6 describes it). A status that HTTP does not know, which an endpoint may send, becomes 502.

HttpClient opens one connection for each call; errors name the step, which tells whether the request may have taken effect. SocketAddress.h reads "IP:port" for links and HTTP; names are not resolved.

RuntimeTimer.h waits in steps of 2 ms while the runtime's clock is paused, because Asio sleeps in real time.

--- /dev/null
+++ b/src/core/SocketAddress.h
@@ -0,0 +1,15 @@
+// Reads the "IP:port" form that settings and messages use for addresses.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace cyclamencroft {
+
+/// Nothing when \p Text isn't "IPv4:port" or "[IPv6]:port".
+std::optional<boost::asio::ip::tcp::endpoint>
+parseSocketAddress(std::string_view Text);
+
+} // namespace cyclamencroft
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -47,6 +47,8 @@
     std::size_t m_Connections = 4096;
     /// From the first byte of a request to its last; 408 after that.
     Duration m_SlowSender{std::chrono::seconds(5)};
+    /// From the start of a response until the caller has taken all of it.
+    Duration m_SlowReader{std::chrono::seconds(30)};
     /// A connection without a request is closed after this long.
     Duration m_Idle{std::chrono::minutes(5)};
   };
--- /dev/null
+++ b/src/http/HttpSession.h
@@ -0,0 +1,95 @@
+// One connection of the HTTP server. Private to src/http/; includes Beast.
+#pragma once
+
+#include "core/RuntimeTimer.h"
+#include "http/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace cyclamencroft {
+
+class HttpSession;
+
+/// What the sessions of one server share.
+struct HttpServerState {
+  HttpServer::Handler m_Handle;
+  HttpServer::Limits m_Limits;
+  /// Set by stopAccepting(): connections end after their response.
+  std::atomic<bool> m_Draining{false};
+
+  std::mutex m_Mutex;
+  /// Guarded by m_Mutex. Each session removes itself.
+  std::unordered_map<HttpSession *, std::weak_ptr<HttpSession>> m_Sessions;
+};
+
+/// A session runs on its strand; only respond() and close() may be called from
+/// elsewhere.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+  using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+  using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
+
+  HttpSession(Socket Connection, std::shared_ptr<HttpServerState> Server);
+  ~HttpSession();
+  HttpSession(const HttpSession &) = delete;
+  HttpSession &operator=(const HttpSession &) = delete;
+
+  /// Reads the first request, or answers 503 when \p Refused.
+  void start(bool Refused);
+
+  /// Response to the request of \p Round.
+  void respond(std::uint64_t Round, HttpResponse Response);
+
+  void close();
+
+private:
+  using ErrorCode = boost::system::error_code;
+  class Exchange;
+
+  void awaitRequest();
+  void readRequest();
+  void requestRead(ErrorCode Fault);
+  void refuseRequest(ErrorCode Fault);
+  void handleRequest();
+  void watchCaller();
+  void callerReadable();
+  void write(HttpResponse Response, bool KeepAlive);
+  void written(bool KeepAlive);
+  void drain();
+  void closeSocket();
+  void armTimer(Duration Limit);
+  void stopTimer();
+
+  Socket m_Socket;
+  std::shared_ptr<HttpServerState> m_Server;
+  boost::asio::basic_waitable_timer<RuntimeClock, RuntimeWaitTraits, Strand>
+      m_Timer;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      m_Parser;
+  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
+      m_Response;
+  std::weak_ptr<Exchange> m_Exchange;
+  /// Number of the request being read or answered.
+  std::uint64_t m_Round = 0;
+  /// True from the end of a request to its response.
+  bool m_Handling = false;
+  bool m_KeepAlive = false;
+  bool m_TimedOut = false;
+  /// Grows when the timer is armed or stopped.
+  std::uint64_t m_TimerTurn = 0;
+};
+
+} // namespace cyclamencroft
--- a/src/link/LinkServer.cpp
+++ b/src/link/LinkServer.cpp
@@ -1,6 +1,7 @@
 // websocketpp server of links.
 #include "link/LinkServer.h"
 
+#include "core/SocketAddress.h"
 #include "link/WebsocketLinks.h"
 
 #include <websocketpp/server.hpp>
@@ -12,18 +13,6 @@
 
 using Server = websocketpp::server<LinkWebsocketConfig>;
 
-/// Splits "IP:port"; throws std::runtime_error.
-boost::asio::ip::tcp::endpoint parseListen(const std::string &Listen) {
-  const std::size_t Colon = Listen.rfind(':');
-  boost::system::error_code Fault;
-  const auto Ip = boost::asio::ip::make_address(Listen.substr(0, Colon), Fault);
-  if (Fault || Colon == std::string::npos)
-    throw std::runtime_error("listen for links, " + Listen +
-                             ": expected IP:port");
-  const unsigned long Port = std::stoul(Listen.substr(Colon + 1));
-  return {Ip, static_cast<std::uint16_t>(Port)};
-}
-
 } // namespace
 
 class LinkServer::Impl : public std::enable_shared_from_this<Impl> {
@@ -35,8 +24,12 @@
     m_Server.init_asio(&m_Io);
     m_Server.set_reuse_addr(true);
     installHandlers();
+    const auto Address = parseSocketAddress(Listen);
+    if (!Address)
+      throw std::runtime_error("listen for links, " + Listen +
+                               ": expected IP:port");
     websocketpp::lib::error_code Fault;
-    m_Server.listen(parseListen(Listen), Fault);
+    m_Server.listen(*Address, Fault);
     if (!Fault)
       m_Server.start_accept(Fault);
     if (Fault)
--- /dev/null
+++ b/tests/unit/HttpTest.cpp
@@ -0,0 +1,231 @@
+// HTTP server and client over loopback: limits, departures and faults.
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace cyclamencroft;
+using Tcp = boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A server on two threads.
+class RunningServer {
+public:
+  explicit RunningServer(HttpServer::Handler Handle,
+                         HttpServer::Limits Limits = {})
+      : m_Work(m_Io.get_executor()),
+        m_Server(m_Io, "127.0.0.1:0", std::move(Handle), Limits) {
+    for (std::thread &Thread : m_Threads)
+      Thread = std::thread([this] { m_Io.run(); });
+  }
+  ~RunningServer() {
+    m_Server.stop();
+    m_Work.reset();
+    for (std::thread &Thread : m_Threads)
+      Thread.join();
+  }
+  RunningServer(const RunningServer &) = delete;
+  RunningServer &operator=(const RunningServer &) = delete;
+
+  HttpServer &server() { return m_Server; }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_Server.port());
+  }
+
+private:
+  boost::asio::io_context m_Io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      m_Work;
+  HttpServer m_Server;
+  std::array<std::thread, 2> m_Threads;
+};
+
+void echo(const std::shared_ptr<HttpExchange> &Exchange) {
+  Exchange->respond({200, {{"X-Seen", "yes"}}, Exchange->request().body()});
+}
+
+Tcp::socket dial(boost::asio::io_context &Io, std::uint16_t Port) {
+  Tcp::socket Socket(Io);
+  Socket.connect({boost::asio::ip::address_v4::loopback(), Port});
+  return Socket;
+}
+
+/// Sends bytes and reads until the server closes.
+std::string talk(std::uint16_t Port, const std::string &Bytes) {
+  boost::asio::io_context Io;
+  Tcp::socket Socket = dial(Io, Port);
+  boost::system::error_code Ignored;
+  boost::asio::write(Socket, boost::asio::buffer(Bytes), Ignored);
+  std::string Answer;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ignored);
+  return Answer;
+}
+
+std::string faultOf(HttpCall Call) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(httpCall(std::move(Call)));
+        return std::string();
+      },
+      [](const Error &Fault) { return Fault.describe(); },
+      [] { return std::string("error without text"); });
+}
+
+bool startsWith(const std::string &Text, const char *Start) {
+  return Text.rfind(Start, 0) == 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http)
+
+// Guards against bodies or headers lost between client, handler and response,
+// also when the response comes from another thread.
+BOOST_AUTO_TEST_CASE(ResponsesMayComeFromAnyThread) {
+  std::vector<std::thread> Threads;
+  RunningServer Running([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    Threads.emplace_back([Exchange] { echo(Exchange); });
+  });
+  const std::string Body(100000, 'b');
+  const HttpResponse Response =
+      httpCall(Running.address(), "POST", "/x", {}, Body, milliseconds(5000))
+          .value();
+  BOOST_TEST(Response.m_Status == 200U);
+  BOOST_TEST(Response.header("x-seen") == "yes");
+  BOOST_TEST((Response.m_Body == Body));
+  for (std::thread &Thread : Threads)
+    Thread.join();
+}
+
+// Guards against responses that are mixed up on a connection that carries
+// several requests, here pipelined.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
+  RunningServer Running(echo);
+  const std::string Head =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n";
+  const std::string Answer =
+      talk(Running.server().port(),
+           Head + "\r\n1" + Head + "Connection: close\r\n\r\n2");
+  const std::size_t First = Answer.find("\r\n\r\n1HTTP/1.1 200");
+  BOOST_TEST(First != std::string::npos);
+  BOOST_TEST(Answer.back() == '2');
+}
+
+// Guards against input that is accepted beyond its limit, or refused without
+// saying so.
+BOOST_AUTO_TEST_CASE(LimitsAreAnsweredWithTheirStatus) {
+  HttpServer::Limits Limits;
+  Limits.m_BodyBytes = 1000;
+  Limits.m_SlowSender = milliseconds(100);
+  RunningServer Running(echo, Limits);
+  const std::uint16_t Port = Running.server().port();
+  BOOST_TEST(startsWith(talk(Port, "nonsense\r\n\r\n"), "HTTP/1.1 400"));
+  BOOST_TEST(startsWith(
+      talk(Port, "GET / HTTP/1.1\r\nX: " + std::string(9000, 'h') + "\r\n\r\n"),
+      "HTTP/1.1 431"));
+  BOOST_TEST(startsWith(talk(Port, "POST / HTTP/1.1\r\nHost: x\r\n"
+                                   "Content-Length: 500000\r\n\r\n" +
+                                       std::string(500000, 'b')),
+                        "HTTP/1.1 413"));
+  BOOST_TEST(startsWith(talk(Port, "POST / HTTP/1.1\r\nContent-Length: 9\r\n"
+                                   "\r\nslow"),
+                        "HTTP/1.1 408"));
+  BOOST_TEST(startsWith(talk(Port, "GET / HT"), "HTTP/1.1 408"));
+}
+
+// Guards against a flood of connections that exhausts descriptors.
+BOOST_AUTO_TEST_CASE(ConnectionsBeyondTheLimitGet503) {
+  HttpServer::Limits Limits;
+  Limits.m_Connections = 1;
+  RunningServer Running(echo, Limits);
+  boost::asio::io_context Io;
+  Tcp::socket First = dial(Io, Running.server().port());
+  boost::asio::write(First, boost::asio::buffer(std::string(
+                                "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+  std::string Answer(12, ' ');
+  boost::asio::read(First, boost::asio::buffer(Answer));
+  BOOST_TEST(Answer == "HTTP/1.1 200");
+  BOOST_TEST(startsWith(talk(Running.server().port(), ""), "HTTP/1.1 503"));
+}
+
+// Guards against work that goes on for a caller who has left, and against
+// callers left waiting when a handler drops the exchange.
+BOOST_AUTO_TEST_CASE(DeparturesAndDroppedExchangesAreNoticed) {
+  std::promise<void> Gone;
+  std::promise<std::shared_ptr<HttpExchange>> Held;
+  RunningServer Running([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    if (Exchange->request().target() == "/drop")
+      return;
+    Exchange->onGone([&] { Gone.set_value(); });
+    Held.set_value(Exchange);
+  });
+  BOOST_TEST(
+      httpCall(Running.address(), "GET", "/drop", {}, "", milliseconds(5000))
+          .value()
+          .m_Status == 500U);
+  boost::asio::io_context Io;
+  Tcp::socket Caller = dial(Io, Running.server().port());
+  boost::asio::write(Caller, boost::asio::buffer(std::string(
+                                 "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")));
+  const auto Exchange = Held.get_future().get();
+  Caller.close();
+  const auto Noticed = Gone.get_future().wait_for(std::chrono::seconds(5));
+  BOOST_TEST((Noticed == std::future_status::ready));
+  Exchange->respond({});
+  Exchange->respond({});
+}
+
+// Guards against a shutdown that cuts a response or keeps connections.
+BOOST_AUTO_TEST_CASE(StoppedServerEndsConnectionsAfterTheirResponse) {
+  RunningServer *Server = nullptr;
+  RunningServer Running([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    Server->server().stopAccepting();
+    Exchange->respond({204, {}, "never sent"});
+  });
+  Server = &Running;
+  const std::string Answer =
+      talk(Running.server().port(), "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST(startsWith(Answer, "HTTP/1.1 204"));
+  BOOST_TEST(Answer.find("Connection: close") != std::string::npos);
+  BOOST_TEST(Answer.find("never sent") == std::string::npos);
+}
+
+// Guards against a client that takes a truncated response for a whole one, or
+// an error that doesn't tell whether the request may have taken effect.
+BOOST_AUTO_TEST_CASE(ClientErrorsNameTheStep) {
+  boost::asio::io_context Io;
+  Tcp::acceptor Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0});
+  HttpCall Call;
+  Call.m_Address =
+      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  std::thread Truncating([&] {
+    Tcp::socket Socket = Acceptor.accept();
+    std::string Request(4, ' ');
+    boost::asio::read(Socket, boost::asio::buffer(Request));
+    boost::asio::write(Socket, boost::asio::buffer(std::string(
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                                   "\r\nhalf")));
+    Socket.shutdown(Tcp::socket::shutdown_both);
+  });
+  BOOST_TEST(startsWith(faultOf(Call), "read response, 127.0.0.1:"));
+  Truncating.join();
+  Call.m_Timeout = milliseconds(100);
+  BOOST_TEST(faultOf(Call).find("due to a timeout") != std::string::npos);
+  Acceptor.close();
+  BOOST_TEST(startsWith(faultOf(Call), "connect, 127.0.0.1:"));
+  Call.m_Address = "localhost";
+  BOOST_TEST(faultOf(Call) == "connect, localhost: the address is not IP:port");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
