--- /dev/null
+++ b/tests/session/AgentNode.cpp
@@ -0,0 +1,116 @@
+// Carries out the commands of an agent's core.
+#include "AgentNode.h"
+
+#include <algorithm>
+
+namespace cyclamencroft::session {
+
+AgentNode::AgentNode(SessionContext &Context, const AgentOptions &Options,
+                     Duration ClockOffset, FakeEndpoint &Endpoint)
+    : SessionNode(Context, Options.m_AgentId, ClockOffset), m_Options(Options),
+      m_Endpoint(Endpoint), m_Core(Options) {}
+
+void AgentNode::startWith(const std::vector<std::string> &Entries) {
+  for (const std::string &Entry : Entries)
+    m_EntryIndex.emplace(Entry,
+                         static_cast<std::uint32_t>(m_EntryIndex.size()));
+  start(Entries);
+}
+
+void AgentNode::announced() {
+  receive([this] {
+    m_LeaseEnd = m_Context.m_Events.now() + m_Options.m_EndpointLease;
+    m_Context.m_Checker.opened(name());
+    feed(m_Endpoint.announcement());
+  });
+}
+
+void AgentNode::leaving() {
+  receive([this] {
+    feed(EndpointLeaving{});
+    m_Context.m_Checker.closed(name());
+  });
+}
+
+void AgentNode::runEnded(const RunEnded &End) {
+  receive([this, End] { feed(End); });
+}
+
+void AgentNode::shutDown() {
+  receive([this] {
+    note("is asked to shut down");
+    feed(ShutdownRequested{});
+    m_Context.m_Checker.closed(name());
+  });
+}
+
+void AgentNode::onOpened(LinkId Link, const std::string &Peer, bool) {
+  feed(EntryLinkOpened{m_EntryIndex.at(Peer), Link});
+}
+
+void AgentNode::onMessage(LinkId Link, const LinkMessage &Message) {
+  const auto *View = std::get_if<ConfigView>(&Message);
+  if (View && View->m_Version > m_View.m_Version)
+    m_View = *View;
+  feed(MessageReceived{Link, Message});
+}
+
+void AgentNode::feed(const AgentEvent &Event) {
+  if (!alive())
+    return;
+  std::vector<AgentCommand> Commands;
+  m_Core.handle(clock(), Event, Commands);
+  for (const AgentCommand &Command : Commands)
+    std::visit([this](const auto &C) { perform(C); }, Command);
+  const std::string Life =
+      name() + "#" +
+      std::to_string(static_cast<std::uint64_t>(m_Options.m_Incarnation));
+  m_Context.m_Checker.configVersion(Life, m_Core.status().m_ConfigVersion);
+}
+
+void AgentNode::perform(const StartRun &Command) {
+  const std::string Task = m_Context.m_Transcript.nameOf(Command.m_Request) +
+                           "/" + std::to_string(Command.m_TaskIndex);
+  if (!m_Endpoint.start(Command, Command.m_Deadline - clock())) {
+    note("can't reach its endpoint to run " + Task);
+    return;
+  }
+  note("runs " + Task);
+  const EndpointAnnounced &Endpoint = m_Endpoint.announcement();
+  m_Context.m_Checker.started(
+      name(), Command, m_Endpoint.running(),
+      std::min(Endpoint.m_Slots, Endpoint.m_Connections));
+  checkMayStart(Command);
+}
+
+void AgentNode::checkMayStart(const StartRun &Run) {
+  const std::string Task = m_Context.m_Transcript.nameOf(Run.m_Request);
+  if (m_Context.m_Events.now() >= m_LeaseEnd)
+    m_Context.m_Checker.fail("invariant 6: " + name() + " started " + Task +
+                             " after its endpoint's lease");
+  const auto &Drained = m_View.m_DrainedFailureDomains;
+  if (std::find(Drained.begin(), Drained.end(), m_Options.m_FailureDomain) !=
+      Drained.end())
+    m_Context.m_Checker.fail("invariant 6: " + name() + " started " + Task +
+                             " in a drained failure domain");
+}
+
+void AgentNode::perform(const AbortRun &Command) {
+  note("aborts a run");
+  m_Endpoint.abort(Command.m_Run);
+}
+
+void AgentNode::perform(const LogDecision &Command) {
+  m_Context.m_Transcript.decision(m_Context.m_Events.now(), name(), Command);
+}
+
+void AgentNode::perform(const Drained &) {
+  note("has drained");
+  if (m_Endpoint.running() > 0)
+    m_Context.m_Checker.fail("invariant 7: " + name() +
+                             " ended its shutdown with tasks running");
+  // The daemon exits once what it sent is written.
+  m_Context.m_Events.schedule(m_Context.m_Events.now(), [this] { kill(); });
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/AgentNode.h
@@ -0,0 +1,54 @@
+// An agent process: the decision core and what the daemon does around it.
+#pragma once
+
+#include "FakeEndpoint.h"
+#include "SessionNode.h"
+#include "agent/AgentCore.h"
+
+namespace cyclamencroft::session {
+
+class AgentNode : public SessionNode {
+public:
+  AgentNode(SessionContext &Context, const AgentOptions &Options,
+            Duration ClockOffset, FakeEndpoint &Endpoint);
+
+  /// Also sets the index of each entry by its position in \p Entries.
+  void startWith(const std::vector<std::string> &Entries);
+
+  /// Called by the endpoint.
+  void announced();
+  void leaving();
+  void runEnded(const RunEnded &End);
+
+  void shutDown();
+  AgentStatusReport status() const { return m_Core.status(); }
+
+protected:
+  TimePoint wakeup() const override { return m_Core.nextWakeup(); }
+  void onTick() override { feed(Tick{}); }
+  void onOpened(LinkId Link, const std::string &Peer, bool IsDialer) override;
+  void onClosed(LinkId Link) override { feed(LinkClosed{Link}); }
+  void onMessage(LinkId Link, const LinkMessage &Message) override;
+
+private:
+  void feed(const AgentEvent &Event);
+  void perform(const SendMessage &Command) { send(Command); }
+  void perform(const CloseLink &Command) { close(Command); }
+  void perform(const StartRun &Command);
+  void perform(const AbortRun &Command);
+  void perform(const LogDecision &Command);
+  void perform(const SpanEnded &) {}
+  void perform(const Drained &Command);
+  void checkMayStart(const StartRun &Run);
+
+  AgentOptions m_Options;
+  FakeEndpoint &m_Endpoint;
+  std::map<std::string, std::uint32_t> m_EntryIndex;
+  AgentCore m_Core;
+  /// Time by which the endpoint must have renewed its lease.
+  Duration m_LeaseEnd{};
+  /// From the highest configuration seen.
+  ConfigView m_View;
+};
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/ApprovedFile.cpp
@@ -0,0 +1,104 @@
+// Line diff against an approved file.
+#include "ApprovedFile.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace cyclamencroft::session {
+namespace {
+
+using Lines = std::vector<std::string>;
+
+// A change early in a session shifts all that follows; more lines than this
+// don't help to find it.
+constexpr std::size_t MaxDiffLines = 60;
+constexpr std::size_t ContextLines = 3;
+
+Lines split(const std::string &Text) {
+  Lines Result;
+  std::istringstream Input(Text);
+  for (std::string Line; std::getline(Input, Line);)
+    Result.push_back(Line);
+  return Result;
+}
+
+/// Lengths of the longest common subsequences of all suffixes.
+std::vector<std::vector<std::uint32_t>> commonLengths(const Lines &A,
+                                                      const Lines &B) {
+  std::vector<std::vector<std::uint32_t>> Length(
+      A.size() + 1, std::vector<std::uint32_t>(B.size() + 1, 0));
+  for (std::size_t I = A.size(); I-- > 0;)
+    for (std::size_t J = B.size(); J-- > 0;)
+      Length[I][J] = A[I] == B[J]
+                         ? Length[I + 1][J + 1] + 1
+                         : std::max(Length[I + 1][J], Length[I][J + 1]);
+  return Length;
+}
+
+/// Appends the differing lines of both, in order.
+void appendChanges(const Lines &A, const Lines &B, Lines &Diff) {
+  const auto Length = commonLengths(A, B);
+  std::size_t I = 0;
+  std::size_t J = 0;
+  while (I < A.size() || J < B.size()) {
+    if (I < A.size() && J < B.size() && A[I] == B[J]) {
+      ++I;
+      ++J;
+    } else if (J == B.size() ||
+               (I < A.size() && Length[I + 1][J] >= Length[I][J + 1])) {
+      Diff.push_back("-" + A[I++]);
+    } else {
+      Diff.push_back("+" + B[J++]);
+    }
+  }
+}
+
+std::string diff(const Lines &Approved, const Lines &Received) {
+  const std::size_t Shorter = std::min(Approved.size(), Received.size());
+  std::size_t Same = 0;
+  while (Same < Shorter && Approved[Same] == Received[Same])
+    ++Same;
+  Lines Diff = {"@@ line " + std::to_string(Same + 1)};
+  for (std::size_t I = Same - std::min(Same, ContextLines); I < Same; ++I)
+    Diff.push_back(" " + Approved[I]);
+  // A window after the first difference keeps the table of lengths small.
+  constexpr std::size_t Window = 1000;
+  const auto Tail = [Same](const Lines &L) {
+    const std::size_t End = std::min(L.size(), Same + Window);
+    return Lines(L.begin() + static_cast<std::ptrdiff_t>(Same),
+                 L.begin() + static_cast<std::ptrdiff_t>(End));
+  };
+  appendChanges(Tail(Approved), Tail(Received), Diff);
+  if (Diff.size() > MaxDiffLines) {
+    const std::size_t More = Diff.size() - MaxDiffLines;
+    Diff.resize(MaxDiffLines);
+    Diff.push_back("... and " + std::to_string(More) + " more lines");
+  }
+  std::string Text;
+  for (const std::string &Line : Diff)
+    Text += Line + "\n";
+  return Text;
+}
+
+} // namespace
+
+std::string compareWithApproved(const std::string &File,
+                                const std::string &Text) {
+  const char *const Approve = std::getenv("CYCLAMENCROFT_APPROVE");
+  if (Approve && std::string(Approve) == "1") {
+    std::ofstream(File) << Text;
+    return {};
+  }
+  std::ifstream Input(File);
+  std::ostringstream Approved;
+  Approved << Input.rdbuf();
+  if (Input && Approved.str() == Text)
+    return {};
+  return File + " differs; tools/approve renews it\n" +
+         diff(split(Approved.str()), split(Text));
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/FakeEndpoint.cpp
@@ -0,0 +1,80 @@
+// Runs of a fake endpoint on virtual time.
+#include "FakeEndpoint.h"
+
+#include "InvariantChecker.h"
+
+#include <algorithm>
+
+namespace cyclamencroft::session {
+
+std::string TaskScript::toBody() const {
+  return m_Name + "|" + std::to_string(m_RunTime.count()) + "|" + m_Mode;
+}
+
+TaskScript TaskScript::fromBody(const std::string &Body) {
+  const std::size_t First = Body.find('|');
+  const std::size_t Second = Body.find('|', First + 1);
+  TaskScript Task;
+  Task.m_Name = Body.substr(0, First);
+  Task.m_RunTime = Duration(std::stoll(Body.substr(First + 1)));
+  Task.m_Mode = Body.substr(Second + 1);
+  return Task;
+}
+
+void FakeEndpoint::kill() {
+  m_Alive = false;
+  const auto Runs = std::move(m_Runs);
+  m_Runs.clear();
+  for (const auto &[Run, Number] : Runs)
+    m_OnRunEnded(RunEnded{Run, Outcome::Unknown, 0, nullptr});
+}
+
+bool FakeEndpoint::start(const StartRun &Run, Duration TimeLeft) {
+  if (!m_Alive) {
+    const RunId Id = Run.m_Run;
+    m_Events.schedule(m_Events.now(), [this, Id] {
+      m_OnRunEnded(RunEnded{Id, Outcome::NotRun, 0, nullptr});
+    });
+    return false;
+  }
+  const TaskScript Task = TaskScript::fromBody(*Run.m_Body);
+  const std::uint64_t Number = m_NextNumber++;
+  m_Runs[Run.m_Run] = Number;
+  RunEnded Result = resultOf(Run, Task);
+  Duration RunTime = m_Broken ? Duration(1000) : Task.m_RunTime * m_Slowness;
+  if (Task.m_Mode == "hang")
+    RunTime = TimeLeft;
+  if (RunTime >= TimeLeft)
+    Result = RunEnded{Run.m_Run, Outcome::Unknown, 0, nullptr};
+  m_Events.schedule(
+      m_Events.now() + std::min(RunTime, TimeLeft),
+      [this, Id = Run.m_Run, Number, Result] { end(Id, Number, Result); });
+  return true;
+}
+
+RunEnded FakeEndpoint::resultOf(const StartRun &Run, const TaskScript &Task) {
+  if (Task.m_Mode == "lost")
+    return RunEnded{Run.m_Run, Outcome::Unknown, 0, nullptr};
+  if (Task.m_Mode == "fail" || m_Broken)
+    return RunEnded{Run.m_Run, Outcome::Failed, 500, makePayload("error")};
+  return RunEnded{Run.m_Run, Outcome::Completed, 200,
+                  makePayload(answerTo(*Run.m_Body))};
+}
+
+void FakeEndpoint::abort(RunId Run) {
+  if (m_Runs.erase(Run) == 0)
+    return;
+  m_Events.schedule(m_Events.now(), [this, Run] {
+    m_OnRunEnded(RunEnded{Run, Outcome::Unknown, 0, nullptr});
+  });
+}
+
+void FakeEndpoint::end(RunId Run, std::uint64_t Number, RunEnded Result) {
+  const auto Found = m_Runs.find(Run);
+  if (Found == m_Runs.end() || Found->second != Number)
+    return;
+  m_Runs.erase(Found);
+  m_OnRunEnded(Result);
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/GoldenSessionTest.cpp
@@ -0,0 +1,53 @@
+// Whole sessions against approved transcripts. Each script says which failure
+// it guards against.
+#include "ApprovedFile.h"
+#include "Script.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <filesystem>
+
+using namespace cyclamencroft::session;
+
+namespace {
+
+const std::string Folder = std::string(TESTS_DIRECTORY) + "/session";
+
+std::vector<std::string> scriptNames() {
+  std::vector<std::string> Names;
+  for (const auto &File :
+       std::filesystem::directory_iterator(Folder + "/scripts"))
+    Names.push_back(File.path().stem().string());
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Golden)
+
+// Guards against changes of behaviour that nobody has looked at, and against
+// breaches of the invariants in the situations of the scripts.
+BOOST_DATA_TEST_CASE(TranscriptIsTheApprovedOne,
+                     boost::unit_test::data::make(scriptNames()), Name) {
+  const ScriptResult Result =
+      runScript(Folder + "/scripts/" + Name + ".session");
+  for (const std::string &Violation : Result.m_Violations)
+    BOOST_ERROR(Violation);
+  const std::string Diff = compareWithApproved(
+      Folder + "/approved/" + Name + ".txt", Result.m_Transcript);
+  BOOST_TEST(Diff.empty(), Diff);
+}
+
+// Guards against sessions that depend on anything but their script, such as
+// addresses in memory; approved files would then differ at random.
+BOOST_AUTO_TEST_CASE(SessionsReplayExactly) {
+  const std::string File =
+      Folder + "/scripts/" + scriptNames().front() + ".session";
+  BOOST_TEST(runScript(File).m_Transcript == runScript(File).m_Transcript);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/session/RandomSchedule.cpp
@@ -0,0 +1,207 @@
+// Draws the events of a random session.
+#include "RandomSchedule.h"
+
+namespace cyclamencroft::session {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Work and faults fall into this time.
+constexpr Duration ActiveTime = 12s;
+
+// Afterwards the session heals; deadlines, ejections and leases then end well
+// within this time.
+constexpr Duration QuietTime = 60s;
+
+constexpr Duration CheckInterval = 50ms;
+
+} // namespace
+
+RandomSchedule::RandomSchedule(std::uint64_t Seed)
+    : m_Random(Seed), m_Session(drawLayout()) {}
+
+SessionLayout RandomSchedule::drawLayout() {
+  SessionLayout Layout =
+      chance(50) ? SessionLayout::eaux() : SessionLayout::salgema();
+  Layout.m_Entries = 1 + below(3);
+  Layout.m_Workers = 2 + below(5);
+  Layout.m_Slots = 1 + below(4);
+  Layout.m_Connections = chance(20) ? 1 : 64;
+  Layout.m_Seed = m_Random.next() >> 32;
+  return Layout;
+}
+
+void RandomSchedule::run() {
+  scheduleWork();
+  scheduleFaults();
+  m_Session.at(ActiveTime, [this] {
+    m_Session.note("heal");
+    m_Session.heal();
+  });
+  for (Duration At = 0s; At < ActiveTime + QuietTime; At += CheckInterval) {
+    m_Session.run(At);
+    if (!m_Session.checker().violations().empty())
+      return;
+  }
+  m_Session.finish();
+}
+
+void RandomSchedule::scheduleWork() {
+  const std::uint32_t Count = 20 + below(80);
+  for (std::uint32_t I = 0; I < Count; ++I)
+    m_Session.at(soon(ActiveTime), [this] { submit(); });
+}
+
+void RandomSchedule::scheduleFaults() {
+  const std::uint32_t Count = below(25);
+  for (std::uint32_t I = 0; I < Count; ++I)
+    m_Session.at(soon(ActiveTime), [this] { disturb(); });
+}
+
+void RandomSchedule::submit() {
+  CallerAction Action;
+  Action.m_Name = "s" + std::to_string(++m_Submissions);
+  Action.m_Entry = anyEntry();
+  Action.m_Task.m_RunTime = Duration(1000 + below(400000));
+  if (chance(10))
+    Action.m_Task.m_RunTime = Duration(1000000 + below(3000000));
+  static const char *const Modes[] = {"fail", "lost", "hang"};
+  if (chance(12))
+    Action.m_Task.m_Mode = Modes[below(3)];
+  if (chance(30))
+    Action.m_JobTasks = 1 + below(30);
+  else
+    Action.m_NonIdempotent = chance(50);
+  if (Action.m_NonIdempotent && chance(30))
+    Action.m_Key = "key" + std::to_string(below(3));
+  if (chance(30))
+    Action.m_Deadline = Duration(20000 + below(3000000));
+  if (chance(20))
+    Action.m_Team = chance(50) ? "billing" : "field";
+  if (chance(3))
+    Action.m_Need.m_Accelerators = 1;
+  m_Session.submit(Action);
+}
+
+void RandomSchedule::disturb() {
+  const std::uint32_t Kind = below(20);
+  if (Kind < 6)
+    disturbLink(Kind);
+  else if (Kind < 11)
+    disturbProcess(Kind - 6);
+  else if (Kind < 15)
+    disturbEndpoint(Kind - 11);
+  else if (Kind < 17)
+    disturbCaller(Kind - 15);
+  else
+    operate(Kind - 17);
+}
+
+void RandomSchedule::disturbLink(std::uint32_t Kind) {
+  std::string A = anyEntry();
+  std::string B = chance(15) ? anyEntry() : anyAgent();
+  if (A == B)
+    B = anyAgent();
+  FakeNetwork &Network = m_Session.network();
+  if (Kind <= 1) {
+    m_Session.note("break " + A + " " + B);
+    Network.cut(A, B);
+    if (Kind == 0)
+      Network.join(A, B);
+    else
+      later(4s, [this, A, B] { m_Session.network().join(A, B); });
+  } else if (Kind <= 3) {
+    if (Kind == 3)
+      std::swap(A, B);
+    m_Session.note("hold " + A + " " + B);
+    Network.hold(A, B);
+    later(4s, [this, A, B] {
+      m_Session.note("release " + A + " " + B);
+      m_Session.network().release(A, B);
+    });
+  } else if (Kind == 4) {
+    m_Session.note("duplicate Dispatch " + A + " " + B);
+    Network.duplicate(A, B, "Dispatch");
+  } else {
+    static const char *const Types[] = {"TaskResult", "TaskRefused",
+                                        "ReconcileReply"};
+    const std::string Type = Types[below(3)];
+    m_Session.note("duplicate " + Type + " " + B + " " + A);
+    Network.duplicate(B, A, Type);
+  }
+}
+
+void RandomSchedule::disturbProcess(std::uint32_t Kind) {
+  const std::string Name = chance(70) ? anyAgent() : anyEntry();
+  if (Kind == 0) {
+    m_Session.restart(Name);
+  } else if (Kind == 1) {
+    m_Session.kill(Name);
+    later(3s, [this, Name] { m_Session.restart(Name); });
+  } else if (Kind <= 3) {
+    m_Session.freeze(Name);
+    later(6s, [this, Name] { m_Session.thaw(Name); });
+  } else {
+    m_Session.shutDown(Name);
+  }
+}
+
+void RandomSchedule::disturbEndpoint(std::uint32_t Kind) {
+  const std::string Agent = anyAgent();
+  if (Kind == 0)
+    m_Session.endpointLeaves(Agent);
+  else if (Kind == 1)
+    m_Session.killEndpoint(Agent);
+  else if (Kind == 2)
+    m_Session.stopAnnouncing(Agent);
+  else
+    m_Session.setBroken(Agent, true);
+  later(5s, [this, Agent, Kind] {
+    if (Kind == 3)
+      m_Session.setBroken(Agent, false);
+    else
+      m_Session.endpointReturns(Agent);
+  });
+}
+
+void RandomSchedule::disturbCaller(std::uint32_t Kind) {
+  if (m_Submissions == 0)
+    return;
+  const std::string Name = "s" + std::to_string(1 + below(m_Submissions));
+  if (Kind == 0)
+    m_Session.cancel(Name);
+  else
+    m_Session.callerLeaves(Name);
+}
+
+void RandomSchedule::operate(std::uint32_t Kind) {
+  static const char *const Presets[] = {"ordinary", "peak", "maintenance",
+                                        "queue", "random"};
+  const auto &Domains = m_Session.layout().m_FailureDomains;
+  const std::string Entry = anyEntry();
+  if (Kind == 0)
+    m_Session.publish(Presets[below(5)], Entry);
+  else if (Kind == 1)
+    m_Session.publish("drain-" + Domains[below(3)], Entry);
+  else
+    m_Session.tellVersion(1, Entry);
+}
+
+Duration RandomSchedule::soon(Duration Span) {
+  return m_Session.now() +
+         Duration(below(static_cast<std::uint32_t>(Span.count())));
+}
+
+std::string RandomSchedule::anyEntry() {
+  return "e" + std::to_string(1 + below(m_Session.layout().m_Entries));
+}
+
+std::string RandomSchedule::anyAgent() {
+  return "w" + std::to_string(1 + below(m_Session.layout().m_Workers));
+}
+
+void RandomSchedule::later(Duration Span, EventQueue::Action What) {
+  m_Session.at(soon(Span), std::move(What));
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/ScheduleTest.cpp
@@ -0,0 +1,57 @@
+// Seeded random sessions over the real decision cores.
+//
+// CYCLAMENCROFT_SEED=N runs one seed and prints its transcript;
+// CYCLAMENCROFT_SEEDS=N runs N seeds instead of the usual number.
+#include "RandomSchedule.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cyclamencroft::session;
+
+namespace {
+
+constexpr std::uint64_t UsualSeeds = 300;
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *const Value = std::getenv(Name);
+  return Value ? std::strtoull(Value, nullptr, 10) : Default;
+}
+
+/// Runs one seed; true when no invariant was broken.
+bool holds(std::uint64_t Seed, bool Print) {
+  RandomSchedule Schedule(Seed);
+  Schedule.run();
+  const auto &Violations = Schedule.session().checker().violations();
+  if (Print || !Violations.empty())
+    std::cout << Schedule.session().transcript().text();
+  for (const std::string &Violation : Violations)
+    std::cout << "seed " << Seed << ": " << Violation << "\n";
+  return Violations.empty();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Schedules)
+
+// Guards against orders of deaths, cuts, freezes, duplicates and restarts in
+// which an invariant is broken.
+BOOST_AUTO_TEST_CASE(InvariantsHoldInRandomSessions) {
+  const std::uint64_t Single = fromEnvironment("CYCLAMENCROFT_SEED", 0);
+  if (Single != 0) {
+    BOOST_TEST(holds(Single, true));
+    return;
+  }
+  const std::uint64_t Seeds =
+      fromEnvironment("CYCLAMENCROFT_SEEDS", UsualSeeds);
+  // Further transcripts would bury the first ones.
+  constexpr int MaxFailures = 3;
+  int Failures = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds && Failures < MaxFailures; ++Seed)
+    Failures += holds(Seed, false) ? 0 : 1;
+  BOOST_TEST(Failures == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/session/Script.h
@@ -0,0 +1,28 @@
+// Session scripts: a deployment and events with times, one a line.
+//
+//   deployment eaux entries=2 workers=11 slots=8
+//   at 100ms request r1 e1 run=200ms mode=ok non-idempotent deadline=2s
+//   at 100ms job j1 e2 tasks=20 run=100ms team=billing
+//   at 150ms kill w3
+//   end 5s
+//
+// Lines that start with # are comments. See Script.cpp for all verbs.
+#pragma once
+
+#include "Session.h"
+
+#include <string>
+
+namespace cyclamencroft::session {
+
+/// What a script led to.
+struct ScriptResult {
+  std::string m_Transcript;
+  std::vector<std::string> m_Violations;
+};
+
+/// Runs the script in \p File. Throws std::runtime_error that names file and
+/// line for a line that it can't read.
+ScriptResult runScript(const std::string &File);
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/Session.cpp
@@ -0,0 +1,252 @@
+// Builds the processes of a session and runs it.
+#include "Session.h"
+
+#include <stdexcept>
+
+namespace cyclamencroft::session {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Endpoints renew three times within the lease of 3 s.
+constexpr Duration RenewalInterval = 1s;
+
+// A restarted entry reads the log for its configuration first.
+constexpr Duration ReadLogTime = 50ms;
+
+// More steps at one moment mean that a timer stays due or that messages are
+// sent back and forth without end.
+constexpr int MaxStepsAtOnce = 20000;
+
+constexpr std::uint32_t WorkersPerRack = 3;
+
+} // namespace
+
+SessionLayout SessionLayout::eaux() {
+  SessionLayout Layout;
+  Layout.m_Latency = 500us;
+  Layout.m_ClientLatency = 1ms;
+  Layout.m_FailureDomains = {"quimper", "brest", "morlaix"};
+  Layout.m_Service = "permits";
+  Layout.m_WorkerSize = Size{64, 131072, 0};
+  return Layout;
+}
+
+SessionLayout SessionLayout::salgema() {
+  SessionLayout Layout;
+  Layout.m_Latency = 900us;
+  Layout.m_ClientLatency = 3ms;
+  Layout.m_FailureDomains = {"santander", "oviedo", "potes"};
+  Layout.m_Service = "refills";
+  Layout.m_WorkerSize = Size{16, 32768, 0};
+  return Layout;
+}
+
+Session::Session(SessionLayout Layout)
+    : m_Layout(std::move(Layout)),
+      m_Context(std::make_unique<SessionContext>(m_Layout.m_Latency,
+                                                 m_Layout.m_FailureDomains)) {
+  for (std::uint32_t I = 1; I <= m_Layout.m_Entries; ++I)
+    m_EntryNames.push_back("e" + std::to_string(I));
+  m_Context->m_Config.publish("ordinary");
+  for (const std::string &Name : m_EntryNames)
+    startEntry(Name);
+  for (std::uint32_t I = 1; I <= m_Layout.m_Workers; ++I)
+    addWorker(I);
+}
+
+Duration Session::nextClockOffset() {
+  return std::chrono::hours(100) + m_NextIncarnation * std::chrono::minutes(7);
+}
+
+void Session::startEntry(const std::string &Name) {
+  EntryOptions Options;
+  Options.m_EntryId = Name;
+  Options.m_Incarnation = Incarnation{m_NextIncarnation++};
+  Options.m_FailureDomain = m_Layout.m_FailureDomains.front();
+  Options.m_ConfiguredEntries = m_Layout.m_Entries;
+  Options.m_Seed = m_Layout.m_Seed * 1000 + m_NextIncarnation;
+  auto Node =
+      std::make_unique<EntryNode>(*m_Context, Options, nextClockOffset());
+  EntryNode &Entry = *Node;
+  m_Entries[Name] = &Entry;
+  m_Nodes.push_back(std::move(Node));
+  std::vector<std::string> Peers;
+  for (const std::string &Peer : m_EntryNames)
+    if (Peer > Name)
+      Peers.push_back(Peer);
+  Entry.start(Peers);
+  const Duration Wait = now() == 0us ? 0us : ReadLogTime;
+  at(now() + Wait, [this, &Entry] {
+    Entry.adopt(m_Context->m_Config.find(m_Context->m_Config.newest()));
+  });
+}
+
+void Session::addWorker(std::uint32_t Number) {
+  const std::string Name = "w" + std::to_string(Number);
+  EndpointAnnounced Announcement;
+  Announcement.m_Service = m_Layout.m_Service;
+  Announcement.m_Address = "10.0.0." + std::to_string(Number) + ":80";
+  Announcement.m_Slots = m_Layout.m_Slots;
+  Announcement.m_Connections = m_Layout.m_Connections;
+  Announcement.m_Size = m_Layout.m_WorkerSize;
+  Worker &Row = m_Workers[Name];
+  Row.m_Endpoint = std::make_unique<FakeEndpoint>(
+      m_Context->m_Events, Announcement,
+      [&Row](const RunEnded &End) { Row.m_Agent->runEnded(End); });
+  startAgent(Name);
+  announce(Name);
+}
+
+void Session::startAgent(const std::string &Name) {
+  const std::uint32_t Rack =
+      (static_cast<std::uint32_t>(std::stoul(Name.substr(1))) - 1) /
+      WorkersPerRack;
+  const auto &Domains = m_Layout.m_FailureDomains;
+  AgentOptions Options;
+  Options.m_AgentId = Name;
+  Options.m_Incarnation = Incarnation{m_NextIncarnation++};
+  Options.m_FailureDomain = Domains[Rack % Domains.size()];
+  Options.m_Rack = "rack" + std::to_string(Rack + 1);
+  Options.m_Entries = m_Layout.m_Entries;
+  Options.m_Seed = m_Layout.m_Seed * 1000 + m_NextIncarnation;
+  Worker &Row = m_Workers.at(Name);
+  auto Node = std::make_unique<AgentNode>(*m_Context, Options,
+                                          nextClockOffset(), *Row.m_Endpoint);
+  Row.m_Agent = Node.get();
+  m_Nodes.push_back(std::move(Node));
+  // Links open a moment after the start, as after a handshake.
+  AgentNode &Agent = *Row.m_Agent;
+  at(now() + 1ms, [this, &Agent] { Agent.startWith(m_EntryNames); });
+}
+
+void Session::announce(const std::string &Agent) {
+  Worker &Row = m_Workers.at(Agent);
+  if (Row.m_Announces && Row.m_Endpoint->alive())
+    Row.m_Agent->announced();
+  at(now() + RenewalInterval, [this, Agent] { announce(Agent); });
+}
+
+void Session::at(Duration At, EventQueue::Action What) {
+  m_Context->m_Events.schedule(At, std::move(What));
+}
+
+void Session::note(const std::string &Text) {
+  transcript().add(now(), "--", Text);
+}
+
+SessionNode &Session::node(const std::string &Name) {
+  const auto Entry = m_Entries.find(Name);
+  if (Entry != m_Entries.end())
+    return *Entry->second;
+  return *m_Workers.at(Name).m_Agent;
+}
+
+SessionNode *Session::nextNode(Duration &Due) {
+  SessionNode *Next = nullptr;
+  Due = Duration::max();
+  const auto Consider = [&Next, &Due](SessionNode &Node) {
+    if (Node.nextTimer() >= Due)
+      return;
+    Due = Node.nextTimer();
+    Next = &Node;
+  };
+  for (const auto &[Name, Entry] : m_Entries)
+    Consider(*Entry);
+  for (const auto &[Name, Row] : m_Workers)
+    Consider(*Row.m_Agent);
+  return Next;
+}
+
+void Session::run(Duration Until) {
+  int Steps = 0;
+  EventQueue &Events = m_Context->m_Events;
+  for (;;) {
+    const Duration Before = now();
+    Duration TimerDue{};
+    SessionNode *Node = nextNode(TimerDue);
+    if (std::min(Events.next(), TimerDue) > Until)
+      break;
+    if (Events.next() <= TimerDue) {
+      Events.runNext();
+    } else {
+      Events.advanceTo(TimerDue);
+      Node->runTimer();
+    }
+    Steps = now() == Before ? Steps + 1 : 0;
+    if (Steps > MaxStepsAtOnce) {
+      checker().fail("no progress: endless steps at " + formatTime(now()) +
+                     ", last at " + (Node ? Node->name() : "none"));
+      break;
+    }
+  }
+  Events.advanceTo(Until);
+}
+
+void Session::submit(const CallerAction &Action) {
+  CallerRow Row;
+  Row.m_Id = CallerId{m_NextCaller};
+  Row.m_Request = Action.m_SameIdAs.empty()
+                      ? RequestId{0xc0ffee, m_NextCaller}
+                      : m_Callers.at(Action.m_SameIdAs).m_Request;
+  Row.m_Entry = Action.m_Entry;
+  ++m_NextCaller;
+  m_Callers[Action.m_Name] = Row;
+  if (Action.m_SameIdAs.empty())
+    transcript().nameRequest(Row.m_Request, Action.m_Name);
+  at(now() + m_Layout.m_ClientLatency,
+     [this, Action, Row] { deliver(Action, Row); });
+}
+
+void Session::deliver(const CallerAction &Action, const CallerRow &Row) {
+  EntryNode &Entry = *m_Entries.at(Action.m_Entry);
+  if (!Entry.alive()) {
+    note("the connection of " + Action.m_Name + " is refused");
+    return;
+  }
+  Submission What;
+  What.m_Name = Action.m_Name;
+  What.m_Request = Row.m_Request;
+  What.m_IsJob = Action.m_JobTasks > 0;
+  What.m_NonIdempotent = Action.m_NonIdempotent;
+  What.m_Entry = Action.m_Entry;
+  for (std::uint32_t I = 0; I < std::max(Action.m_JobTasks, 1U); ++I) {
+    TaskScript Task = Action.m_Task;
+    Task.m_Name = Action.m_Name + "." + std::to_string(I);
+    What.m_Bodies.push_back(Task.toBody());
+  }
+  const TraceContext Trace{Row.m_Request, 0};
+  if (!What.m_IsJob) {
+    Entry.request(RequestArrived{Row.m_Id, Row.m_Request, m_Layout.m_Service,
+                                 Action.m_Team, Action.m_NonIdempotent,
+                                 Action.m_Key, Action.m_Deadline, Action.m_Need,
+                                 Trace, makePayload(What.m_Bodies.front())},
+                  What);
+    return;
+  }
+  JobSubmitted Job{Row.m_Id,
+                   Row.m_Request,
+                   m_Layout.m_Service,
+                   Action.m_Team,
+                   Action.m_Deadline,
+                   Action.m_Need,
+                   Trace,
+                   {}};
+  for (const std::string &Body : What.m_Bodies)
+    Job.m_Tasks.push_back(makePayload(Body));
+  Entry.job(Job, What);
+}
+
+void Session::cancel(const std::string &Submission) {
+  const CallerRow &Row = m_Callers.at(Submission);
+  m_Entries.at(Row.m_Entry)->cancel(Row.m_Request);
+}
+
+void Session::callerLeaves(const std::string &Submission) {
+  const CallerRow &Row = m_Callers.at(Submission);
+  note("the caller of " + Submission + " leaves");
+  checker().released(Row.m_Id);
+  m_Entries.at(Row.m_Entry)->callerGone(Row.m_Id);
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/Session.h
@@ -0,0 +1,128 @@
+// One session: entries, agents, endpoints and callers of a deployment on
+// virtual time.
+#pragma once
+
+#include "AgentNode.h"
+#include "EntryNode.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamencroft::session {
+
+/// Sizes and latencies of a deployment.
+struct SessionLayout {
+  Duration m_Latency{};
+  Duration m_ClientLatency{};
+  std::vector<std::string> m_FailureDomains;
+  std::string m_Service;
+  std::uint32_t m_Entries = 2;
+  std::uint32_t m_Workers = 11;
+  std::uint32_t m_Slots = 8;
+  std::uint32_t m_Connections = 64;
+  Size m_WorkerSize;
+  std::uint64_t m_Seed = 1;
+
+  /// Régie des Eaux de Cornouaille: permit desk, 0.5 ms between domains.
+  static SessionLayout eaux();
+  /// Cooperativa Salgema del Norte: refill dispatch, 0.9 ms between domains.
+  static SessionLayout salgema();
+};
+
+/// A request or job of a caller.
+struct CallerAction {
+  std::string m_Name;
+  std::string m_Entry;
+  TaskScript m_Task;
+  /// 0 for a single request.
+  std::uint32_t m_JobTasks = 0;
+  bool m_NonIdempotent = false;
+  std::string m_Key;
+  std::string m_Team;
+  Duration m_Deadline{};
+  Size m_Need;
+  /// Name of an earlier submission whose request id is used again.
+  std::string m_SameIdAs;
+};
+
+class Session {
+public:
+  explicit Session(SessionLayout Layout);
+
+  /// Runs everything that is due until \p Until.
+  void run(Duration Until);
+  /// Calls \p What at \p At.
+  void at(Duration At, EventQueue::Action What);
+
+  void submit(const CallerAction &Action);
+  void cancel(const std::string &Submission);
+  void callerLeaves(const std::string &Submission);
+
+  /// Makes a new version and tells it to \p Entry.
+  void publish(const std::string &Preset, const std::string &Entry);
+  /// Tells \p Entry an earlier version again.
+  void tellVersion(ConfigVersion Version, const std::string &Entry);
+
+  /// These take the name of an entry ("e1") or an agent ("w1").
+  void kill(const std::string &Name);
+  void restart(const std::string &Name);
+  void freeze(const std::string &Name);
+  void thaw(const std::string &Name);
+  void shutDown(const std::string &Name);
+
+  // The endpoint of an agent.
+  void endpointLeaves(const std::string &Agent);
+  void endpointReturns(const std::string &Agent);
+  /// The endpoint dies or only stops renewing its announcement.
+  void killEndpoint(const std::string &Agent);
+  void stopAnnouncing(const std::string &Agent);
+  void setSlowness(const std::string &Agent, std::uint32_t Factor);
+  void setBroken(const std::string &Agent, bool Broken);
+
+  FakeNetwork &network() { return m_Context->m_Network; }
+  Transcript &transcript() { return m_Context->m_Transcript; }
+  InvariantChecker &checker() { return m_Context->m_Checker; }
+  const SessionLayout &layout() const { return m_Layout; }
+  Duration now() const { return m_Context->m_Events.now(); }
+  void note(const std::string &Text);
+
+  /// Ends every fault: joins, releases, thaws and restarts.
+  void heal();
+  /// Checks what must hold at the end of a healed session.
+  void finish();
+
+private:
+  struct Worker {
+    std::unique_ptr<FakeEndpoint> m_Endpoint;
+    AgentNode *m_Agent = nullptr;
+    bool m_Announces = true;
+  };
+  struct CallerRow {
+    CallerId m_Id{};
+    RequestId m_Request;
+    std::string m_Entry;
+  };
+
+  void startEntry(const std::string &Name);
+  void startAgent(const std::string &Name);
+  void addWorker(std::uint32_t Number);
+  void announce(const std::string &Agent);
+  void deliver(const CallerAction &Action, const CallerRow &Row);
+  SessionNode &node(const std::string &Name);
+  SessionNode *nextNode(Duration &Due);
+  Duration nextClockOffset();
+
+  SessionLayout m_Layout;
+  std::unique_ptr<SessionContext> m_Context;
+  std::vector<std::string> m_EntryNames;
+  std::map<std::string, EntryNode *> m_Entries;
+  std::map<std::string, Worker> m_Workers;
+  std::map<std::string, CallerRow> m_Callers;
+  /// Every process that ever ran; events may still name dead ones.
+  std::vector<std::unique_ptr<SessionNode>> m_Nodes;
+  std::uint64_t m_NextIncarnation = 1;
+  std::uint64_t m_NextCaller = 1;
+};
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/SessionNode.cpp
@@ -0,0 +1,106 @@
+// Clock, freezes and dialling of a session's processes.
+#include "SessionNode.h"
+
+namespace cyclamencroft::session {
+namespace {
+
+// A lost link is dialled again after this time; the daemons' random delays
+// would only blur the transcripts.
+constexpr Duration RedialDelay = std::chrono::milliseconds(200);
+
+} // namespace
+
+void SessionNode::start(const std::vector<std::string> &Peers) {
+  m_Context.m_Network.attach(m_Name, *this);
+  for (const std::string &Peer : Peers)
+    receive([this, Peer] { dial(Peer); });
+}
+
+void SessionNode::kill() {
+  m_Alive = false;
+  m_Waiting.clear();
+  m_Context.m_Network.detach(m_Name);
+}
+
+void SessionNode::thaw() {
+  m_Frozen = false;
+  while (!m_Waiting.empty() && m_Alive && !m_Frozen) {
+    const EventQueue::Action Work = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    Work();
+  }
+}
+
+void SessionNode::receive(EventQueue::Action Work) {
+  if (!m_Alive)
+    return;
+  if (m_Frozen)
+    m_Waiting.push_back(std::move(Work));
+  else
+    Work();
+}
+
+Duration SessionNode::nextTimer() const {
+  if (!m_Alive || m_Frozen)
+    return Duration::max();
+  const TimePoint Due = wakeup();
+  if (Due == TimePoint::max())
+    return Duration::max();
+  const Duration Local = Due.time_since_epoch() - m_ClockOffset;
+  return std::max(Local, m_Context.m_Events.now());
+}
+
+void SessionNode::runTimer() { onTick(); }
+
+void SessionNode::dial(const std::string &Peer) {
+  if (!m_Alive || m_Context.m_Network.dial(m_Name, Peer))
+    return;
+  m_Context.m_Events.schedule(
+      m_Context.m_Events.now() + RedialDelay,
+      [this, Peer] { receive([this, Peer] { dial(Peer); }); });
+}
+
+void SessionNode::linkOpened(LinkId Link, const std::string &Peer,
+                             bool IsDialer) {
+  if (IsDialer)
+    m_Dialled[Link] = Peer;
+  receive([this, Link, Peer, IsDialer] { onOpened(Link, Peer, IsDialer); });
+}
+
+void SessionNode::linkClosed(LinkId Link) {
+  receive([this, Link] {
+    onClosed(Link);
+    const auto Found = m_Dialled.find(Link);
+    if (Found == m_Dialled.end())
+      return;
+    const std::string Peer = Found->second;
+    m_Dialled.erase(Found);
+    m_Context.m_Events.schedule(
+        m_Context.m_Events.now() + RedialDelay,
+        [this, Peer] { receive([this, Peer] { dial(Peer); }); });
+  });
+}
+
+void SessionNode::messageArrived(LinkId Link, const LinkMessage &Message) {
+  receive([this, Link, Message] { onMessage(Link, Message); });
+}
+
+void SessionNode::send(const SendMessage &Command) {
+  const std::string Peer = m_Context.m_Network.peerOf(Command.m_Link);
+  m_Context.m_Transcript.message(m_Context.m_Events.now(), m_Name,
+                                 Peer.empty() ? "(closed)" : Peer,
+                                 Command.m_Message);
+  m_Context.m_Network.send(Command.m_Link, Command.m_Message);
+}
+
+void SessionNode::close(const CloseLink &Command) {
+  note("closes link to " + m_Context.m_Network.peerOf(Command.m_Link) + ": " +
+       Command.m_Reason);
+  m_Context.m_Network.close(Command.m_Link);
+}
+
+void SessionNode::note(const std::string &Text) {
+  m_Context.m_Transcript.add(m_Context.m_Events.now(), m_Name, Text);
+}
+
+} // namespace cyclamencroft::session
--- /dev/null
+++ b/tests/session/SessionNode.h
@@ -0,0 +1,85 @@
+// Base of the processes of a session: clock, freezes and dialling.
+#pragma once
+
+#include "FakeNetwork.h"
+#include "InvariantChecker.h"
+#include "SessionConfig.h"
+#include "Transcript.h"
+
+#include <deque>
+#include <map>
+
+namespace cyclamencroft::session {
+
+/// What all processes of a session share.
+struct SessionContext {
+  EventQueue m_Events;
+  FakeNetwork m_Network;
+  SessionConfig m_Config;
+  Transcript m_Transcript;
+  InvariantChecker m_Checker;
+
+  SessionContext(Duration Latency, std::vector<std::string> Domains)
+      : m_Network(m_Events, Latency), m_Config(std::move(Domains)) {}
+};
+
+class SessionNode : public NetworkNode {
+public:
+  /// \p ClockOffset makes this process's clock differ from the others', so that
+  /// a comparison of clocks of two hosts shows.
+  SessionNode(SessionContext &Context, std::string Name, Duration ClockOffset)
+      : m_Context(Context), m_Name(std::move(Name)),
+        m_ClockOffset(ClockOffset) {}
+
+  const std::string &name() const { return m_Name; }
+
+  /// Starts the process; it dials \p Peers and redials lost links.
+  void start(const std::vector<std::string> &Peers);
+  void kill();
+  bool alive() const { return m_Alive; }
+
+  /// A frozen process handles nothing; what arrives waits for it.
+  void freeze() { m_Frozen = true; }
+  void thaw();
+
+  /// When the process's next timer is due; Duration::max() for none.
+  Duration nextTimer() const;
+  void runTimer();
+
+  void linkOpened(LinkId Link, const std::string &Peer, bool IsDialer) final;
+  void linkClosed(LinkId Link) final;
+  void messageArrived(LinkId Link, const LinkMessage &Message) final;
+
+  /// Does \p Work now, or when the process is thawed; never when it is dead.
+  void receive(EventQueue::Action Work);
+
+protected:
+  virtual TimePoint wakeup() const = 0;
+  virtual void onTick() = 0;
+  virtual void onOpened(LinkId Link, const std::string &Peer,
+                        bool IsDialer) = 0;
+  virtual void onClosed(LinkId Link) = 0;
+  virtual void onMessage(LinkId Link, const LinkMessage &Message) = 0;
+
+  TimePoint clock() const {
+    return TimePoint(m_Context.m_Events.now() + m_ClockOffset);
+  }
+  void send(const SendMessage &Command);
+  void close(const CloseLink &Command);
+  void note(const std::string &Text);
+
+  SessionContext &m_Context;
+
+private:
+  void dial(const std::string &Peer);
+
+  std::string m_Name;
+  Duration m_ClockOffset;
+  bool m_Alive = true;
+  bool m_Frozen = false;
+  std::deque<EventQueue::Action> m_Waiting;
+  /// Peers of the links that this process dialled.
+  std::map<LinkId, std::string> m_Dialled;
+};
+
+} // namespace cyclamencroft::session
