--- a/src/entry/Router.h
+++ b/src/entry/Router.h
@@ -48,6 +48,9 @@
   /// Live entries that share each agent's slots; at least 1.
   void setEntries(std::uint32_t Entries);
 
+  /// Tasks that may wait at an agent beyond its slots (Preset::m_AgentQueue).
+  void setAgentQueue(std::uint32_t Tasks);
+
   /// Chooses an agent; sets \p Why when there is none.
   std::optional<AgentIndex> choose(const RouteQuery &Query,
                                    const RoutingPolicy &Policy, TimePoint Now,
