Add the decision core of an entry

Cause: nothing owned a request or job between its acceptance and its answer. Change: EntryCore admits, queues, dispatches, matches results and answers single requests and jobs. A request is a submission of one task, so both share one path. Its parts: SubmissionTable, ServiceQueue with JobQueue (turns between requests and jobs, teams, short and old jobs), SequenceLedger (numbers, floor, outstanding dispatches), AgentRow, TimerQueue, KeyTable, ConfigTracker and OutcomeLog. Link loss, reconciliation, silence checks, peers and configuration are in place but not tested yet. Ruled out: lazy deletion in queues and timers, because cancellations arrive in bursts and an unreachable service would let dead entries pile up; lists hold their links in the submissions and timers have back references instead. A queue per declared size rather than one list, so that a task that waits for a large endpoint does not hold up small ones. Tests: unit.EntryCore (4 cases: request, job, refusal, refusal limit) pass.

--- /dev/null
+++ b/src/entry/Admission.cpp
@@ -0,0 +1,45 @@
+// Expected waits from queue lengths, slots and the usual run time.
+#include "entry/Admission.h"
+
+#include "entry/ServiceQueue.h"
+
+#include <algorithm>
+
+namespace cyclamencroft {
+namespace {
+
+/// Tasks that start before the last one of a new request: the requests before
+/// it and the tasks of jobs that get turns meanwhile.
+std::uint64_t aheadOfRequest(const ServiceLoad &Load) {
+  const std::uint64_t Requests = Load.m_WaitingRequests;
+  const std::uint64_t JobTurns = Requests / (JobTurnEvery - 1);
+  return Requests + std::min<std::uint64_t>(JobTurns, Load.m_WaitingJobTasks);
+}
+
+/// Jobs share their turns, so a job waits for at most as many tasks of each
+/// other job as it has itself; requests take most of the turns.
+std::uint64_t aheadOfJob(std::uint64_t Tasks, const ServiceLoad &Load) {
+  const std::uint64_t JobTasks =
+      Tasks + std::min<std::uint64_t>(Load.m_WaitingJobTasks,
+                                      Tasks * Load.m_WaitingJobs);
+  const std::uint64_t RequestTurns = JobTasks * (JobTurnEvery - 1);
+  return JobTasks +
+         std::min<std::uint64_t>(RequestTurns, Load.m_WaitingRequests);
+}
+
+} // namespace
+
+Duration expectedWait(SubmissionKind Kind, std::uint32_t Tasks,
+                      const ServiceLoad &Load) {
+  if (Load.m_WaitingRequests + Load.m_WaitingJobTasks == 0)
+    return Duration{};
+  const std::uint64_t Ahead = Kind == SubmissionKind::Request
+                                  ? aheadOfRequest(Load)
+                                  : aheadOfJob(Tasks, Load);
+  const std::uint32_t Share =
+      std::max(1U, Load.m_Slots / std::max(1U, Load.m_Entries));
+  return Duration(Load.m_RunTime.count() * static_cast<std::int64_t>(Ahead) /
+                  static_cast<std::int64_t>(Share));
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/AgentRow.cpp
@@ -0,0 +1,21 @@
+// Rules of an agent's row that need no other table.
+#include "entry/AgentRow.h"
+
+namespace cyclamencroft {
+
+HelloMeaning AgentRow::meaningOf(const AgentHello &Hello) const {
+  if (Hello.m_Incarnation != m_Incarnation)
+    return HelloMeaning::NewIncarnation;
+  return Hello.m_WindowId == m_WindowId ? HelloMeaning::SameWindow
+                                        : HelloMeaning::NewWindow;
+}
+
+bool AgentRow::takesWork() const {
+  const bool Reachable =
+      m_Link && !m_Reconciling && m_Silence != SilenceState::Suspected;
+  const bool Willing = m_State == AgentState::Active && !m_SaidGoodbye;
+  const bool Wanted = !m_Superseded && !m_DomainDrained;
+  return Reachable && Willing && Wanted && m_Route && !m_Ledger.full();
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/ConfigTracker.cpp
@@ -0,0 +1,33 @@
+// Order of configuration versions as seen by one entry.
+#include "entry/ConfigTracker.h"
+
+namespace cyclamencroft {
+
+void ConfigTracker::heardOf(ConfigVersion Version, TimePoint Now) {
+  if (Version <= m_Current || Version <= m_Heard)
+    return;
+  m_Heard = Version;
+  m_HeardAt = Now;
+  if (m_Awaited > m_Current)
+    return;
+  m_Awaited = Version;
+  m_AwaitedSince = Now;
+}
+
+bool ConfigTracker::adopt(ConfigVersion Version) {
+  if (Version <= m_Current)
+    return false;
+  m_Current = Version;
+  if (m_Awaited > m_Current)
+    return true;
+  m_Awaited = m_Heard;
+  m_AwaitedSince = m_HeardAt;
+  return true;
+}
+
+TimePoint ConfigTracker::overdueAt() const {
+  return m_Awaited > m_Current ? m_AwaitedSince + AdoptionLimit
+                               : TimePoint::max();
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/EntryAdmission.cpp
@@ -0,0 +1,195 @@
+// Accepts or refuses new requests and jobs. A refusal happens before anything
+// is dispatched, so it means "not run".
+#include "entry/Admission.h"
+#include "entry/EntryCoreImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamencroft {
+
+void EntryCore::Impl::on(const RequestArrived &Event) {
+  const Arrival New(Event);
+  std::string Detail;
+  const RefusalReason Reason = admit(New, Detail);
+  if (Reason != RefusalReason::None)
+    return refuse(New, Reason, std::move(Detail));
+  ++m_Counters.m_Requests;
+  const SubmissionIndex Index = accept(New);
+  Submission &Added = m_Submissions[Index];
+  Added.m_Tasks.emplace_back();
+  Added.m_Tasks.back().m_Body = Event.m_Body;
+  Added.m_Waiting.push_back(0);
+  m_Services[Added.m_Service].m_Queue.add(Index);
+  markDirty(Added.m_Service);
+}
+
+void EntryCore::Impl::on(const JobSubmitted &Event) {
+  const Arrival New(Event);
+  std::string Detail;
+  const RefusalReason Reason = admit(New, Detail);
+  if (Reason != RefusalReason::None)
+    return refuse(New, Reason, std::move(Detail));
+  ++m_Counters.m_Jobs;
+  const SubmissionIndex Index = accept(New);
+  Submission &Added = m_Submissions[Index];
+  Added.m_Tasks.resize(New.m_Tasks);
+  Added.m_Waiting.resize(New.m_Tasks);
+  for (std::uint32_t Number = 0; Number < New.m_Tasks; ++Number) {
+    Added.m_Tasks[Number].m_Body = Event.m_Tasks[Number];
+    Added.m_Waiting[Number] = New.m_Tasks - 1 - Number;
+  }
+  m_Services[Added.m_Service].m_Queue.add(Index);
+  markDirty(Added.m_Service);
+}
+
+RefusalReason EntryCore::Impl::admit(const Arrival &New, std::string &Detail) {
+  RefusalReason Reason = checkServing(New);
+  if (Reason != RefusalReason::None)
+    return Reason;
+  const Service &To = m_Services[serviceNamed(New.m_Service)];
+  Reason = checkFit(To, New);
+  if (Reason == RefusalReason::None)
+    Reason = checkLoad(To, New);
+  if (Reason == RefusalReason::None)
+    Reason = takeKeyAndQuota(New);
+  if (Reason == RefusalReason::SizeFitsNoEndpoint)
+    Detail = "no connected endpoint has the declared size, or the job does not "
+             "have 1 to 200 tasks";
+  return Reason;
+}
+
+RefusalReason EntryCore::Impl::checkServing(const Arrival &New) const {
+  if (m_Draining)
+    return RefusalReason::ShuttingDown;
+  if (!m_Config || m_Now >= m_Versions.overdueAt())
+    return RefusalReason::NoConfiguration;
+  if (!m_Preset->m_AdmitsWork)
+    return RefusalReason::PresetRefuses;
+  const Configuration &Config = m_Config->m_Configuration;
+  if (Config.m_Services.count(New.m_Service) == 0)
+    return RefusalReason::UnknownService;
+  if (!New.m_Team.empty() && Config.m_Teams.count(New.m_Team) == 0)
+    return RefusalReason::UnknownTeam;
+  // Cancellation and matching go by id, so an id can't be in use twice.
+  if (m_Submissions.find(New.m_Request) != NoIndex)
+    return RefusalReason::RepeatedKey;
+  return RefusalReason::None;
+}
+
+RefusalReason EntryCore::Impl::checkFit(const Service &To,
+                                        const Arrival &New) const {
+  if (New.m_Tasks == 0 || New.m_Tasks > MaxJobTasks)
+    return RefusalReason::SizeFitsNoEndpoint;
+  if (!m_Router.fitsAny(To.m_Name, Size{}))
+    return RefusalReason::NoEndpoint;
+  if (!m_Router.fitsAny(To.m_Name, New.m_Need))
+    return RefusalReason::SizeFitsNoEndpoint;
+  return RefusalReason::None;
+}
+
+RefusalReason EntryCore::Impl::checkLoad(const Service &To,
+                                         const Arrival &New) const {
+  const ServiceQueue &Queue = To.m_Queue;
+  if (Queue.waitingTasks() + New.m_Tasks > m_Preset->m_QueueLimit)
+    return RefusalReason::QueueFull;
+  const Duration Limit = deadlineOf(To, New);
+  if (Limit <= Duration{})
+    return RefusalReason::DeadlinePassed;
+  if (Queue.waitingTasks() == 0)
+    return RefusalReason::None;
+  ServiceLoad Load;
+  Load.m_WaitingRequests = Queue.waitingRequests();
+  Load.m_WaitingJobs = Queue.waitingJobs();
+  Load.m_WaitingJobTasks = Queue.waitingJobTasks();
+  Load.m_Slots = m_Router.slots(To.m_Name);
+  Load.m_Entries = m_Entries;
+  Load.m_RunTime = m_Router.usualRunTime(To.m_Name);
+  const bool TooLate = expectedWait(New.m_Kind, New.m_Tasks, Load) > Limit;
+  return TooLate ? RefusalReason::WaitPastDeadline : RefusalReason::None;
+}
+
+RefusalReason EntryCore::Impl::takeKeyAndQuota(const Arrival &New) {
+  const std::uint64_t Key =
+      New.m_Key.empty() ? 0
+                        : KeyTable::hash(New.m_Service, New.m_Team, New.m_Key);
+  if (Key != 0) {
+    const KeyTable::Claim Claim = m_Keys.claim(Key, m_Now);
+    if (Claim == KeyTable::Claim::Repeated)
+      return RefusalReason::RepeatedKey;
+    if (Claim == KeyTable::Claim::TableFull)
+      return RefusalReason::QueueFull;
+  }
+  if (New.m_Team.empty() || m_Quotas.tryTake(New.m_Team, New.m_Tasks, m_Now))
+    return RefusalReason::None;
+  if (Key != 0)
+    m_Keys.forget(Key);
+  return RefusalReason::QuotaExceeded;
+}
+
+Duration EntryCore::Impl::deadlineOf(const Service &To,
+                                     const Arrival &New) const {
+  if (New.m_Deadline == Duration{})
+    return To.m_Config->m_DefaultDeadline;
+  return std::min(New.m_Deadline, To.m_Config->m_MaxDeadline);
+}
+
+SubmissionIndex EntryCore::Impl::accept(const Arrival &New) {
+  const SubmissionIndex Index = m_Submissions.add(New.m_Request, New.m_Caller);
+  Submission &Added = m_Submissions[Index];
+  Added.m_Kind = New.m_Kind;
+  Added.m_Service = serviceNamed(New.m_Service);
+  Added.m_Team = New.m_Team;
+  Added.m_NonIdempotent = New.m_NonIdempotent;
+  if (!New.m_Key.empty())
+    Added.m_Key = KeyTable::hash(New.m_Service, New.m_Team, New.m_Key);
+  Added.m_Need = New.m_Need;
+  Added.m_Trace = New.m_Trace;
+  if (Added.m_Trace.m_TraceId == RequestId{})
+    Added.m_Trace.m_TraceId = New.m_Request;
+  Added.m_SpanId = newSpanId();
+  Service &To = m_Services[Added.m_Service];
+  Added.m_ArrivedAt = m_Now;
+  Added.m_Deadline = m_Now + deadlineOf(To, New);
+  Added.m_DeadlineTimer =
+      m_Timers.add(Added.m_Deadline, TimerKind::Deadline, Index);
+  To.m_Budget.requestArrived(m_Preset->m_RetryPercent, m_Now);
+  return Index;
+}
+
+void EntryCore::Impl::refuse(const Arrival &New, RefusalReason Reason,
+                             std::string Detail) {
+  m_OutcomeLog.countRefusal(Reason);
+  if (Detail.empty())
+    Detail = "refused at admission: " + std::string(toString(Reason));
+  if (New.m_Kind == SubmissionKind::Job) {
+    m_Commands->emplace_back(AnswerJob{New.m_Caller,
+                                       New.m_Request,
+                                       Outcome::NotRun,
+                                       Reason,
+                                       std::move(Detail),
+                                       {}});
+    return;
+  }
+  m_Commands->emplace_back(AnswerRequest{New.m_Caller, New.m_Request,
+                                         Outcome::NotRun, Reason, 0,
+                                         std::move(Detail), nullptr});
+}
+
+ServiceIndex EntryCore::Impl::serviceNamed(const std::string &Name) {
+  const auto Found = m_ServiceByName.find(Name);
+  if (Found != m_ServiceByName.end())
+    return Found->second;
+  const auto Index = static_cast<ServiceIndex>(m_Services.size());
+  Service &Added = m_Services.emplace_back(m_Submissions);
+  Added.m_Name = Name;
+  if (m_Config) {
+    const auto Declared = m_Config->m_Configuration.m_Services.find(Name);
+    if (Declared != m_Config->m_Configuration.m_Services.end())
+      Added.m_Config = &Declared->second;
+  }
+  m_ServiceByName.emplace(Name, Index);
+  return Index;
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/EntryLiveness.cpp
@@ -0,0 +1,146 @@
+// Lost links, silent agents and heartbeats.
+#include "entry/EntryCoreImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamencroft {
+namespace {
+
+/// Time for an agent to reconnect before outcomes are unknown.
+constexpr Duration GracePeriod = std::chrono::seconds(2);
+
+/// Silence of an agent with outstanding tasks before it is pinged, and from the
+/// ping until it is suspected.
+constexpr Duration PingAfter = std::chrono::seconds(1);
+constexpr Duration SuspectAfter = std::chrono::milliseconds(500);
+
+/// A suspected agent's link is closed after this long: the far side of a cut
+/// network sends no close, and outcomes must not stay open until the deadline.
+constexpr Duration CloseSuspectedAfter = std::chrono::seconds(10);
+
+/// Agents that are gone keep their numbering in case the same incarnation comes
+/// back. Eleven days of restarts and replacements at 360 a day.
+constexpr std::size_t MaxDormantRows = 4096;
+
+} // namespace
+
+void EntryCore::Impl::agentLost(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  log("agent-link-lost",
+      {{"agent", Row.m_Id},
+       {"in-doubt", std::to_string(Row.m_Ledger.outstanding())}});
+  Row.m_Link.reset();
+  Row.m_LostAt = m_Now;
+  Row.m_Reconciling = false;
+  Row.m_Silence = SilenceState::Quiet;
+  m_Timers.cancel(Row.m_SilenceTimer);
+  m_Timers.cancel(Row.m_IdleTimer);
+  refreshAvailability(Row);
+  if (Row.m_SaidGoodbye && Row.m_Ledger.outstanding() == 0)
+    return makeDormant(Index);
+  Row.m_GraceTimer = m_Timers.add(m_Now + GracePeriod, TimerKind::Grace, Index);
+}
+
+void EntryCore::Impl::graceEnded(AgentRowIndex Index) {
+  outstandingUnknown(m_Rows[Index],
+                     "the link to the agent was lost and not restored");
+  makeDormant(Index);
+}
+
+void EntryCore::Impl::makeDormant(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  dropRoute(Row);
+  const auto Held = m_RowByAddress.find(Row.m_Hello.m_EndpointAddress);
+  if (Held != m_RowByAddress.end() && Held->second == Index)
+    m_RowByAddress.erase(Held);
+  Row.m_Hello = AgentHello();
+  m_Dormant.push_back(DormantRow{Index, Row.m_LostAt});
+  if (m_Dormant.size() <= MaxDormantRows)
+    return;
+  const DormantRow Oldest = m_Dormant.front();
+  m_Dormant.pop_front();
+  AgentRow &Old = m_Rows[Oldest.m_Row];
+  const bool StillGone = !Old.m_Link && Old.m_LostAt == Oldest.m_LostAt;
+  if (!StillGone || Old.m_Ledger.outstanding() > 0)
+    return;
+  m_RowById.erase(Old.m_Id);
+  Old = AgentRow();
+  m_Rows.remove(Oldest.m_Row);
+}
+
+void EntryCore::Impl::agentHeard(AgentRow &Row) {
+  Row.m_LastHeard = m_Now;
+  if (Row.m_Silence == SilenceState::Pinged)
+    Row.m_Silence = SilenceState::Watched;
+  if (Row.m_Silence != SilenceState::Suspected)
+    return;
+  Row.m_Silence = SilenceState::Watched;
+  log("agent-responds", {{"agent", Row.m_Id}});
+  refreshAvailability(Row);
+}
+
+void EntryCore::Impl::watchSilence(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  Row.m_BusySince = m_Now;
+  if (Row.m_SilenceTimer != NoTimer)
+    return;
+  Row.m_Silence = SilenceState::Watched;
+  Row.m_SilenceTimer =
+      m_Timers.add(m_Now + PingAfter, TimerKind::Silence, Index);
+}
+
+void EntryCore::Impl::silenceCheck(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  switch (Row.m_Silence) {
+  case SilenceState::Quiet:
+    return;
+  case SilenceState::Watched:
+    return pingOrWait(Index);
+  case SilenceState::Pinged:
+    Row.m_Silence = SilenceState::Suspected;
+    log("agent-suspected",
+        {{"agent", Row.m_Id},
+         {"outstanding", std::to_string(Row.m_Ledger.outstanding())}});
+    refreshAvailability(Row);
+    Row.m_SilenceTimer =
+        m_Timers.add(m_Now + CloseSuspectedAfter, TimerKind::Silence, Index);
+    return;
+  case SilenceState::Suspected:
+    return dropLink(Index, "the agent does not respond");
+  }
+}
+
+void EntryCore::Impl::pingOrWait(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  if (Row.m_Ledger.outstanding() == 0) {
+    Row.m_Silence = SilenceState::Quiet;
+    return;
+  }
+  const TimePoint Due = std::max(Row.m_LastHeard, Row.m_BusySince) + PingAfter;
+  if (Due > m_Now) {
+    Row.m_SilenceTimer = m_Timers.add(Due, TimerKind::Silence, Index);
+    return;
+  }
+  Row.m_Silence = SilenceState::Pinged;
+  sendToAgent(Row, Ping{++m_PingNumber});
+  Row.m_SilenceTimer =
+      m_Timers.add(m_Now + SuspectAfter, TimerKind::Silence, Index);
+}
+
+void EntryCore::Impl::agentIdleCheck(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
+  if (m_Now - Row.m_LastHeard >= DeadLinkAfter)
+    return dropLink(Index, "no heartbeat from the agent");
+  if (m_Now - Row.m_LastSent >= HeartbeatEvery)
+    sendToAgent(Row, Heartbeat{m_Versions.current()});
+  Row.m_IdleTimer = m_Timers.add(Row.m_LastSent + HeartbeatEvery,
+                                 TimerKind::AgentIdle, Index);
+}
+
+void EntryCore::Impl::dropLink(AgentRowIndex Index, std::string Reason) {
+  closeLink(*m_Rows[Index].m_Link, std::move(Reason));
+  agentLost(Index);
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/TimerQueue.h
@@ -0,0 +1,72 @@
+// Timers of the core, ordered by due time. Adding, cancelling and taking the
+// first one cost O(log n); cancelled timers leave nothing behind.
+#pragma once
+
+#include "core/RuntimeClock.h"
+#include "entry/Slab.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace cyclamencroft {
+
+/// What a timer is for; its target is an index of the matching table.
+enum class TimerKind : std::uint8_t {
+  Deadline,     ///< Submission's deadline.
+  Hedge,        ///< Submission may get a second attempt.
+  Orphan,       ///< Attempt without submission is given up.
+  Grace,        ///< Agent's link has been lost for the grace period.
+  Silence,      ///< Agent with outstanding tasks is checked for silence.
+  AgentIdle,    ///< Agent's link may need a heartbeat.
+  PeerIdle,     ///< Peer's link may need a heartbeat.
+  QuotaReport,  ///< Report of demand to the peers.
+  ConfigBehind, ///< A higher version was heard of and has not come.
+  RefusalLog,   ///< Refusals counted since the last line are logged.
+};
+
+using TimerId = std::uint32_t;
+constexpr TimerId NoTimer = NoIndex;
+
+struct Timer {
+  TimePoint m_Due{};
+  TimerKind m_Kind{};
+  std::uint32_t m_Target = 0;
+};
+
+class TimerQueue {
+public:
+  TimerId add(TimePoint Due, TimerKind Kind, std::uint32_t Target = 0);
+
+  /// Cancels the timer and clears \p Id; does nothing for NoTimer.
+  void cancel(TimerId &Id);
+
+  /// Due time of the first timer; TimePoint::max() when there is none.
+  TimePoint nextDue() const;
+
+  /// Removes and returns the first timer that is due at \p Now. Timers with
+  /// the same due time come in the order of their addition.
+  std::optional<Timer> takeDue(TimePoint Now);
+
+  std::size_t size() const { return m_Heap.size(); }
+
+private:
+  struct Entry {
+    Timer m_Timer;
+    std::uint64_t m_Order = 0;
+    std::uint32_t m_Position = 0;
+  };
+
+  bool before(std::uint32_t A, std::uint32_t B) const;
+  void place(std::uint32_t Position, TimerId Id);
+  void siftUp(std::uint32_t Position);
+  void siftDown(std::uint32_t Position);
+  void removeAt(std::uint32_t Position);
+
+  Slab<Entry> m_Entries;
+  // Invariant: binary heap; m_Entries[m_Heap[P]].m_Position is P.
+  std::vector<TimerId> m_Heap;
+  std::uint64_t m_NextOrder = 0;
+};
+
+} // namespace cyclamencroft
