Add the entry daemon

I/O threads parse HTTP and filter requests (routes, headers, limits, service, team and preset) against the configuration, which they read by read-copy-update (RcuPointer.h over liburcu's membarrier flavour), then post a typed event. The core's thread takes all events that have arrived in one turn, feeds them to EntryCore, and sends one frame for each link. Links run on that thread as well: another thread would add two wake-ups to every task. Responses are rendered on the HTTP threads, because a job's may be large.

A timer that fires early is left armed instead of being moved in every turn. The first message of a link must be a hello within 5 s; the core never learns of other links. The codec checks the protocol version before the other fields of a hello, which may differ in another version, and names both versions.

Decisions: job bodies that are not UTF-8 are returned as "body_base64", because JSON would alter them; a key without Cyclamencroft-Non-Idempotent, or with a job, is a 400. HttpServer closes idle connections when it stops accepting, so that a drained entry need not wait for them, and adds the outcome "not-run" to responses that it sends by itself.

--- /dev/null
+++ b/apps/EntryMain.cpp
@@ -0,0 +1,107 @@
+// Entry daemon: reads settings, runs until SIGTERM or SIGINT, and drains.
+#include "entry/EntryDaemon.h"
+#include "settings/SettingsReader.h"
+#include "telemetry/EventLog.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <thread>
+
+using namespace cyclamencroft;
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitFault = 1;
+constexpr int ExitInterrupted = 3;
+
+/// Runs the signal handlers: the first signal drains, the second ends at once.
+class SignalThread {
+public:
+  explicit SignalThread(EntryDaemon &Daemon)
+      : m_Daemon(Daemon), m_Signals(m_Io, SIGTERM, SIGINT) {
+    await();
+    m_Thread = std::thread([this] { m_Io.run(); });
+  }
+  ~SignalThread() {
+    m_Io.stop();
+    m_Thread.join();
+  }
+  SignalThread(const SignalThread &) = delete;
+  SignalThread &operator=(const SignalThread &) = delete;
+
+  bool interrupted() const { return m_Interrupted; }
+
+private:
+  void await() {
+    m_Signals.async_wait([this](boost::system::error_code Fault, int Number) {
+      if (Fault)
+        return;
+      logEvent(LogLevel::Info, "signal", {{"number", std::to_string(Number)}});
+      if (m_Asked) {
+        m_Interrupted = true;
+        return m_Daemon.stop();
+      }
+      m_Asked = true;
+      m_Daemon.requestShutdown();
+      await();
+    });
+  }
+
+  EntryDaemon &m_Daemon;
+  boost::asio::io_context m_Io;
+  boost::asio::signal_set m_Signals;
+  bool m_Asked = false;
+  std::atomic<bool> m_Interrupted{false};
+  std::thread m_Thread;
+};
+
+int runDaemon(const EntrySettings &Settings) {
+  EventLog::open(Settings.m_LogFile, Settings.m_Id);
+  try {
+    const auto Daemon = EntryDaemon::Builder().settings(Settings).build();
+    Daemon->start();
+    bool Interrupted = false;
+    {
+      const SignalThread Signals(*Daemon);
+      Daemon->wait();
+      Interrupted = Signals.interrupted();
+    }
+    Daemon->stop();
+    return Interrupted ? ExitInterrupted : ExitOk;
+  } catch (const std::exception &Fault) {
+    logEvent(LogLevel::Error, "start-failed", {{"reason", Fault.what()}});
+    return ExitFault;
+  }
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App("Cyclamencroft entry: accepts requests and jobs and dispatches "
+               "their tasks to agents.");
+  std::string File;
+  App.add_option("--settings", File, "Settings file (TOML)")->required();
+  CLI11_PARSE(App, Count, Arguments);
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<int> {
+        BOOST_LEAF_AUTO(Settings, readEntrySettings(File));
+        return runDaemon(Settings);
+      },
+      [](const SettingsFaults &Faults) {
+        for (const std::string &Fault : Faults.m_Faults)
+          std::cerr << Fault << '\n';
+        return ExitFault;
+      },
+      [] {
+        std::cerr << "settings could not be read\n";
+        return ExitFault;
+      });
+}
--- /dev/null
+++ b/src/entry/EntryLoop.cpp
@@ -0,0 +1,252 @@
+// One turn: take all events that have arrived, feed them to the core, carry out
+// its commands, and send one frame for each link.
+#include "entry/EntryLoop.h"
+
+#include "entry/EntryResponses.h"
+#include "entry/JobRequest.h"
+#include "telemetry/EventLog.h"
+
+#include <boost/asio/post.hpp>
+
+namespace cyclamencroft {
+namespace {
+
+/// How often, and how long at most, a drained entry looks for responses that
+/// are still being written. A slow reader is cut off by the HTTP server before.
+constexpr Duration DrainPoll{std::chrono::milliseconds(10)};
+constexpr Duration DrainLimit{std::chrono::seconds(32)};
+
+HttpServer::Limits limitsOf(const EntrySettings &Settings) {
+  HttpServer::Limits Limits;
+  Limits.m_BodyBytes = MaxJobBytes;
+  Limits.m_Connections = Settings.m_MaxConnections;
+  Limits.m_RefusalHeaders = {{"Cyclamencroft-Outcome", "not-run"}};
+  return Limits;
+}
+
+} // namespace
+
+EntryLoop::EntryLoop(const EntrySettings &Settings, EntryOptions Options)
+    : m_EntryId(Settings.m_Id), m_Incarnation(Options.m_Incarnation),
+      m_CoreIo(1), m_CoreWork(m_CoreIo.get_executor()),
+      m_HttpWork(m_HttpIo.get_executor()),
+      m_Spans(Settings.m_SpanFile, "cyclamencroft-entry"),
+      m_Core(std::move(Options)), m_Timer(m_CoreIo), m_DrainTimer(m_CoreIo),
+      m_Links(m_CoreIo, Settings.m_LinkListen, Settings.m_Peers, linkSink()),
+      m_Http(m_Config, httpSink()),
+      m_Server(
+          m_HttpIo, Settings.m_HttpListen,
+          [this](const ExchangePtr &Exchange) { m_Http.handle(Exchange); },
+          limitsOf(Settings)) {
+  if (!Settings.m_LogAddress.empty())
+    m_Watcher = std::make_unique<ConfigWatcher>(
+        m_CoreIo, Settings.m_LogAddress,
+        [this](const ConfigStatePtr &State) { adopt(State); });
+}
+
+EntryLoop::~EntryLoop() {
+  // Held exchanges answer through the HTTP io_context.
+  m_Callers.clear();
+  m_Inbox.clear();
+}
+
+EntryHttp::Sink EntryLoop::httpSink() {
+  return {[this](EntryEvent Event, ExchangePtr Exchange) {
+            post(std::move(Event), std::move(Exchange));
+          },
+          [this](EntryPage Page, const ExchangePtr &Exchange) {
+            query(Page, Exchange);
+          }};
+}
+
+EntryLinks::Sink EntryLoop::linkSink() {
+  return {[this](EntryEvent Event) { post(std::move(Event), nullptr); },
+          [this](const ConfigTransfer &Transfer) {
+            if (m_Watcher)
+              m_Watcher->offer(Transfer);
+          },
+          [this] { return makeHello(); }};
+}
+
+void EntryLoop::start(const ConfigStatePtr &Config) {
+  if (Config)
+    adopt(Config);
+  if (m_Watcher)
+    m_Watcher->start();
+  m_Links.start();
+}
+
+void EntryLoop::runCore() { m_CoreIo.run(); }
+
+void EntryLoop::runHttp() {
+  const RcuReaderThread Reader;
+  m_HttpIo.run();
+}
+
+void EntryLoop::requestShutdown() { post(ShutdownRequested{}, nullptr); }
+
+void EntryLoop::wait() {
+  std::unique_lock<std::mutex> Lock(m_EndMutex);
+  m_EndChanged.wait(Lock, [this] { return m_Ended; });
+}
+
+void EntryLoop::stop() {
+  m_CoreIo.stop();
+  m_HttpIo.stop();
+  finish();
+}
+
+void EntryLoop::closeAll() {
+  m_Links.stop();
+  m_Server.stop();
+  const RcuReaderThread Reader;
+  m_HttpIo.restart();
+  m_HttpIo.poll();
+}
+
+void EntryLoop::finish() {
+  const std::lock_guard<std::mutex> Lock(m_EndMutex);
+  m_Ended = true;
+  m_EndChanged.notify_all();
+}
+
+void EntryLoop::post(EntryEvent Event, ExchangePtr Exchange) {
+  bool First = false;
+  {
+    const std::lock_guard<std::mutex> Lock(m_InboxMutex);
+    First = m_Inbox.empty();
+    m_Inbox.push_back(Inbound{std::move(Event), std::move(Exchange)});
+  }
+  if (First)
+    boost::asio::post(m_CoreIo, [this] { drain(); });
+}
+
+void EntryLoop::query(EntryPage Page, const ExchangePtr &Exchange) {
+  boost::asio::post(m_CoreIo,
+                    [this, Page, Exchange] { showPage(Page, Exchange); });
+}
+
+void EntryLoop::drain() {
+  {
+    const std::lock_guard<std::mutex> Lock(m_InboxMutex);
+    m_Turn.swap(m_Inbox);
+  }
+  const TimePoint Now = RuntimeClock::now();
+  for (Inbound &Arrived : m_Turn)
+    feed(Now, Arrived);
+  m_Turn.clear();
+  execute();
+}
+
+void EntryLoop::feed(TimePoint Now, Inbound &Arrived) {
+  CallerId Waiting{};
+  if (const auto *Request = std::get_if<RequestArrived>(&Arrived.m_Event))
+    Waiting = Request->m_Caller;
+  if (const auto *Job = std::get_if<JobSubmitted>(&Arrived.m_Event))
+    Waiting = Job->m_Caller;
+  if (Waiting != CallerId{}) {
+    Arrived.m_Exchange->onGone(
+        [this, Waiting] { post(CallerGone{Waiting}, nullptr); });
+    m_Callers.emplace(Waiting, Caller{std::move(Arrived.m_Exchange), Now});
+  }
+  if (const auto *Gone = std::get_if<CallerGone>(&Arrived.m_Event))
+    m_Callers.erase(Gone->m_Caller);
+  if (std::holds_alternative<ShutdownRequested>(Arrived.m_Event))
+    m_Draining = true;
+  m_Core.handle(Now, Arrived.m_Event, m_Commands);
+}
+
+void EntryLoop::execute() {
+  for (EntryCommand &Command : m_Commands)
+    std::visit([this](auto &Each) { run(Each); }, Command);
+  m_Commands.clear();
+  m_Links.flush();
+  armTimer();
+}
+
+/// The response is rendered on an HTTP thread; that of a job may be large.
+template <class A> void EntryLoop::answer(A Answer) {
+  const auto Found = m_Callers.find(Answer.m_Caller);
+  if (Found == m_Callers.end())
+    return;
+  Caller Waiting = std::move(Found->second);
+  m_Callers.erase(Found);
+  boost::asio::post(m_HttpIo, [this, Waiting = std::move(Waiting),
+                               Answer = std::move(Answer)] {
+    Waiting.m_Exchange->respond(toResponse(Answer));
+    m_Metrics.observe("cyclamencroft_response_time_seconds",
+                      RuntimeClock::now() - Waiting.m_Arrived);
+  });
+}
+
+void EntryLoop::run(SendMessage &Send) {
+  m_Links.queue(Send.m_Link, std::move(Send.m_Message));
+}
+
+void EntryLoop::run(CloseLink &Close) {
+  m_Links.close(Close.m_Link, std::move(Close.m_Reason));
+}
+
+void EntryLoop::run(LogDecision &Decision) {
+  EventLog::write(LogLevel::Info, Decision.m_Event, Decision.m_Fields);
+}
+
+void EntryLoop::run(SpanEnded &Span) { m_Spans.write(Span); }
+
+void EntryLoop::run(Drained &) {
+  m_Server.stopAccepting();
+  m_DrainDeadline = RuntimeClock::now() + DrainLimit;
+  awaitResponses();
+}
+
+void EntryLoop::awaitResponses() {
+  m_DrainTimer.expires_after(DrainPoll);
+  m_DrainTimer.async_wait([this](boost::system::error_code Fault) {
+    if (Fault)
+      return;
+    const bool Late = RuntimeClock::now() >= m_DrainDeadline;
+    if (m_Server.connections() != 0 && !Late)
+      return awaitResponses();
+    logEvent(LogLevel::Info, "drained", {{"entry", m_EntryId}});
+    finish();
+  });
+}
+
+/// A timer that fires early costs less than arming it anew in every turn.
+void EntryLoop::armTimer() {
+  const TimePoint Due = m_Core.nextWakeup();
+  if (Due >= m_ArmedFor)
+    return;
+  m_ArmedFor = Due;
+  m_Timer.expires_at(Due);
+  m_Timer.async_wait([this](boost::system::error_code Fault) {
+    if (!Fault)
+      timerFired();
+  });
+}
+
+void EntryLoop::timerFired() {
+  m_ArmedFor = TimePoint::max();
+  const TimePoint Now = RuntimeClock::now();
+  if (m_Core.nextWakeup() <= Now)
+    m_Core.handle(Now, Tick{}, m_Commands);
+  execute();
+}
+
+void EntryLoop::adopt(const ConfigStatePtr &State) {
+  if (m_Adopted && State->m_Version <= m_Adopted->m_Version)
+    return;
+  m_Adopted = State;
+  m_Config.replace(std::make_unique<const ConfigStatePtr>(State));
+  post(ConfigAdopted{State}, nullptr);
+}
+
+EntryHello EntryLoop::makeHello() const {
+  EntryHello Hello;
+  Hello.m_EntryId = m_EntryId;
+  Hello.m_Incarnation = m_Incarnation;
+  Hello.m_ConfigVersion = m_Adopted ? m_Adopted->m_Version : 0;
+  return Hello;
+}
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/EntryResponses.h
@@ -0,0 +1,28 @@
+// HTTP responses of an entry.
+#pragma once
+
+#include "config/Configuration.h"
+#include "entry/EntryCore.h"
+#include "http/HttpTypes.h"
+
+#include <string>
+
+namespace cyclamencroft {
+
+HttpResponse toResponse(const AnswerRequest &Answer);
+HttpResponse toResponse(const AnswerJob &Answer);
+
+/// Refusal before the core has seen the request. \p Reason is a stable
+/// lower-case name and \p Detail one sentence.
+HttpResponse refusalResponse(unsigned Status, const RequestId &Request,
+                             std::string_view Reason, std::string_view Detail);
+
+/// Status of work that was not run for \p Reason.
+unsigned statusOf(RefusalReason Reason);
+
+/// Body of GET /v1/status and of GET /v1/config.
+HttpResponse statusResponse(const EntryStatus &Status,
+                            const std::string &EntryId, std::size_t Callers);
+HttpResponse configResponse(const ConfigState &State);
+
+} // namespace cyclamencroft
--- /dev/null
+++ b/src/entry/RequestHeaders.h
@@ -0,0 +1,35 @@
+// Reads the Cyclamencroft-* headers of a request or job.
+#pragma once
+
+#include "core/Messages.h"
+#include "http/HttpServer.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamencroft {
+
+struct RequestHeaders {
+  /// Zero when the caller names none; the entry then draws one.
+  RequestId m_Request;
+  std::string m_Team;
+  bool m_NonIdempotent = false;
+  std::string m_Key;
+  /// Zero when the caller names none.
+  Duration m_Deadline{};
+  Size m_Need;
+  TraceContext m_Trace;
+  /// Empty when all headers are valid; else the header and what is valid.
+  std::string m_Fault;
+};
+
+/// Longest team or key that is accepted.
+constexpr std::size_t MaxNameBytes = 256;
+
+RequestHeaders readRequestHeaders(const HttpRequest &Request);
+
+/// Nothing when \p Text is not 32 hexadecimal digits or all of them are zero.
+std::optional<RequestId> parseRequestId(std::string_view Text);
+
+} // namespace cyclamencroft
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -25,7 +25,7 @@
       : m_Io(Io), m_Strand(boost::asio::make_strand(Io)), m_Acceptor(m_Strand),
         m_Retry(m_Strand), m_State(std::make_shared<HttpServerState>()) {
     m_State->m_Handle = std::move(Handle);
-    m_State->m_Limits = Limit;
+    m_State->m_Limits = std::move(Limit);
   }
 
   void listen(const std::string &Listen) {
@@ -52,29 +52,35 @@
       boost::system::error_code Ignored;
       Self->m_Acceptor.close(Ignored);
       Self->m_Retry.cancel();
+      for (const auto &Session : Self->sessions())
+        Session->closeIfIdle();
     });
   }
 
+  std::size_t connections() const {
+    const std::lock_guard<std::mutex> Lock(m_State->m_Mutex);
+    return m_State->m_Sessions.size();
+  }
+
   void stop() {
     stopAccepting();
     // Runs after the acceptor is closed, so that no session is missed.
-    boost::asio::post(m_Strand,
-                      [Self = shared_from_this()] { Self->closeSessions(); });
+    boost::asio::post(m_Strand, [Self = shared_from_this()] {
+      for (const auto &Session : Self->sessions())
+        Session->close();
+    });
   }
 
   std::uint16_t m_Port = 0;
 
 private:
-  void closeSessions() {
+  std::vector<std::shared_ptr<HttpSession>> sessions() {
     std::vector<std::shared_ptr<HttpSession>> Sessions;
-    {
-      const std::lock_guard<std::mutex> Lock(m_State->m_Mutex);
-      for (const auto &[Address, Weak] : m_State->m_Sessions)
-        if (auto Session = Weak.lock())
-          Sessions.push_back(std::move(Session));
-    }
-    for (const auto &Session : Sessions)
-      Session->close();
+    const std::lock_guard<std::mutex> Lock(m_State->m_Mutex);
+    for (const auto &[Address, Weak] : m_State->m_Sessions)
+      if (auto Session = Weak.lock())
+        Sessions.push_back(std::move(Session));
+    return Sessions;
   }
 
   void accept() {
@@ -124,7 +130,7 @@
 
 HttpServer::HttpServer(boost::asio::io_context &Io, const std::string &Listen,
                        Handler Handle, Limits Limit)
-    : m_Impl(std::make_shared<Impl>(Io, std::move(Handle), Limit)) {
+    : m_Impl(std::make_shared<Impl>(Io, std::move(Handle), std::move(Limit))) {
   m_Impl->listen(Listen);
 }
 
@@ -134,6 +140,8 @@
 
 void HttpServer::stopAccepting() { m_Impl->stopAccepting(); }
 
+std::size_t HttpServer::connections() const { return m_Impl->connections(); }
+
 void HttpServer::stop() { m_Impl->stop(); }
 
 } // namespace cyclamencroft
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -51,6 +51,9 @@
     Duration m_SlowReader{std::chrono::seconds(30)};
     /// A connection without a request is closed after this long.
     Duration m_Idle{std::chrono::minutes(5)};
+    /// Added to responses that the server sends itself, because the request
+    /// was not acceptable.
+    HttpHeaders m_RefusalHeaders;
   };
   using Request = HttpRequest;
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -67,9 +70,13 @@
 
   std::uint16_t port() const;
 
-  /// Accepts no further connections; open ones end after their response.
+  /// Accepts no further connections and closes idle ones; others end after
+  /// their response.
   void stopAccepting();
 
+  /// Open connections.
+  std::size_t connections() const;
+
   /// Closes the listener and every connection.
   void stop();
 
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -100,23 +100,28 @@
 void HttpSession::start(bool Refused) {
   ErrorCode Ignored;
   m_Socket.set_option(tcp::no_delay(true), Ignored);
-  boost::asio::dispatch(
-      m_Socket.get_executor(), [Self = shared_from_this(), Refused] {
-        if (Refused)
-          Self->write(plainResponse(503, "too many connections"), false);
-        else
-          Self->awaitRequest();
-      });
+  boost::asio::dispatch(m_Socket.get_executor(),
+                        [Self = shared_from_this(), Refused] {
+                          if (Refused)
+                            Self->refuse(503, "too many connections");
+                          else
+                            Self->awaitRequest();
+                        });
 }
 
 void HttpSession::awaitRequest() {
   ++m_Round;
   if (m_Buffer.size() != 0)
     return readRequest();
+  // After stopAccepting() a connection ends here, unless a request has begun.
+  if (m_Server->m_Draining && m_Round > 1)
+    return closeSocket();
+  m_Idle = true;
   armTimer(m_Server->m_Limits.m_Idle);
   m_Socket.async_read_some(
       m_Buffer.prepare(ReadBytes),
       [Self = shared_from_this()](ErrorCode Fault, std::size_t Bytes) {
+        Self->m_Idle = false;
         if (Fault)
           return Self->closeSocket();
         Self->m_Buffer.commit(Bytes);
@@ -145,23 +150,29 @@
 
 void HttpSession::refuseRequest(ErrorCode Fault) {
   if (m_TimedOut)
-    return write(plainResponse(408, "request took too long to arrive"), false);
+    return refuse(408, "request took too long to arrive");
   if (Fault == http::error::header_limit ||
       Fault == http::error::buffer_overflow)
-    return write(plainResponse(431, "request header exceeds the limit"), false);
+    return refuse(431, "request header exceeds the limit");
   if (Fault == http::error::body_limit)
-    return write(plainResponse(413, "request body exceeds the limit"), false);
+    return refuse(413, "request body exceeds the limit");
   const bool Malformed =
       Fault.category() ==
           http::make_error_code(http::error::bad_method).category() &&
       Fault != http::error::end_of_stream &&
       Fault != http::error::partial_message;
   if (Malformed)
-    return write(plainResponse(400, "malformed request: " + Fault.message()),
-                 false);
+    return refuse(400, "malformed request: " + Fault.message());
   closeSocket();
 }
 
+void HttpSession::refuse(unsigned Status, const std::string &Text) {
+  HttpResponse Response = plainResponse(Status, Text);
+  for (const auto &Header : m_Server->m_Limits.m_RefusalHeaders)
+    Response.m_Headers.push_back(Header);
+  write(std::move(Response), false);
+}
+
 void HttpSession::handleRequest() {
   m_KeepAlive = m_Parser->get().keep_alive();
   m_Handling = true;
@@ -265,6 +276,13 @@
                         [Self = shared_from_this()] { Self->closeSocket(); });
 }
 
+void HttpSession::closeIfIdle() {
+  boost::asio::dispatch(m_Socket.get_executor(), [Self = shared_from_this()] {
+    if (Self->m_Idle)
+      Self->closeSocket();
+  });
+}
+
 void HttpSession::closeSocket() {
   m_Handling = false;
   stopTimer();
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -33,8 +33,8 @@
   std::unordered_map<HttpSession *, std::weak_ptr<HttpSession>> m_Sessions;
 };
 
-/// A session runs on its strand; only respond() and close() may be called from
-/// elsewhere.
+/// A session runs on its strand; only respond(), close() and closeIfIdle() may
+/// be called from elsewhere.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
@@ -52,6 +52,8 @@
   void respond(std::uint64_t Round, HttpResponse Response);
 
   void close();
+  /// Closes a connection on which no request has begun.
+  void closeIfIdle();
 
 private:
   using ErrorCode = boost::system::error_code;
@@ -61,6 +63,7 @@
   void readRequest();
   void requestRead(ErrorCode Fault);
   void refuseRequest(ErrorCode Fault);
+  void refuse(unsigned Status, const std::string &Text);
   void handleRequest();
   void watchCaller();
   void callerReadable();
@@ -87,6 +90,8 @@
   /// True from the end of a request to its response.
   bool m_Handling = false;
   bool m_KeepAlive = false;
+  /// True while the first byte of a request is awaited.
+  bool m_Idle = false;
   bool m_TimedOut = false;
   /// Grows when the timer is armed or stopped.
   std::uint64_t m_TimerTurn = 0;
--- a/src/link/LinkCodec.cpp
+++ b/src/link/LinkCodec.cpp
@@ -142,11 +142,29 @@
 
   template <class M> void fields(std::size_t Fields, M &Message) {
     m_Name = MessageNames[LinkMessage(M{}).index()];
-    if (!expectCount(Fields, fieldCount<M>()))
+    if (!expectProtocol(Message) || !expectCount(Fields, fieldCount<M>()))
       return;
     FieldVisitor<FieldReader>{*this}(Message);
   }
 
+  /// A hello of another version may have other fields, so its version is
+  /// checked before them.
+  template <class M> bool expectProtocol(const M &) {
+    if constexpr (std::is_same_v<M, AgentHello> ||
+                  std::is_same_v<M, EntryHello>) {
+      if (m_Next == m_Tokens.size() ||
+          m_Tokens[m_Next].m_Kind != CborToken::Kind::Unsigned ||
+          m_Tokens[m_Next].m_Number == ProtocolVersion)
+        return true;
+      m_Place = "protocol";
+      fail("version " + std::to_string(m_Tokens[m_Next].m_Number) +
+           " is not supported; this process speaks version " +
+           std::to_string(ProtocolVersion));
+      return false;
+    }
+    return true;
+  }
+
   bool expectCount(std::size_t Found, std::size_t Expected) {
     if (Found == Expected)
       return true;
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -122,6 +122,14 @@
              std::string::npos);
 }
 
+// Guards against a fault about some field of a hello when the cause is that the
+// peer speaks another version, which may have other fields.
+BOOST_AUTO_TEST_CASE(AnotherProtocolVersionIsNamedWithOurs) {
+  BOOST_TEST(faultOf(cborOf({{1, 7, "entry", "unknown"}})) ==
+             "decode frame: message 0 (EntryHello), protocol: version 7 is not "
+             "supported; this process speaks version 1");
+}
+
 // Guards against crashes and silent acceptance of structures that no message
 // uses, among them the nested strings that overflow the library's stack.
 BOOST_AUTO_TEST_CASE(OtherStructuresAreRefused) {
