Fit the entry's core to the behaviour of router and agent

Cause: an agent may refuse tasks as "leaving" while its own state stays active (it does so until a change of service is confirmed), which would have excluded it for good; hello handling sent cancellations on a link that it then closed. Change: an agent's state comes from its hello and status only. A replaced link is closed before outcomes are settled. The row of an agent, not the router, has the last word on whether a task may be sent. The agent queue of the preset is passed to the router. KeyTable is now RequestKeys, since settings use that name. Ruled out: readmission after a time for agents that refused as leaving; agents send their state before such refusals, so the state is always known.

--- a/src/entry/EntryAdmission.cpp
+++ b/src/entry/EntryAdmission.cpp
@@ -81,11 +81,10 @@
                                         const Arrival &New) const {
   if (New.m_Tasks == 0 || New.m_Tasks > MaxJobTasks)
     return RefusalReason::SizeFitsNoEndpoint;
-  if (!m_Router.fitsAny(To.m_Name, Size{}))
-    return RefusalReason::NoEndpoint;
-  if (!m_Router.fitsAny(To.m_Name, New.m_Need))
-    return RefusalReason::SizeFitsNoEndpoint;
-  return RefusalReason::None;
+  if (m_Router.fitsAny(To.m_Name, New.m_Need))
+    return RefusalReason::None;
+  return m_Router.fitsAny(To.m_Name, Size{}) ? RefusalReason::SizeFitsNoEndpoint
+                                             : RefusalReason::NoEndpoint;
 }
 
 RefusalReason EntryCore::Impl::checkLoad(const Service &To,
@@ -111,13 +110,14 @@
 
 RefusalReason EntryCore::Impl::takeKeyAndQuota(const Arrival &New) {
   const std::uint64_t Key =
-      New.m_Key.empty() ? 0
-                        : KeyTable::hash(New.m_Service, New.m_Team, New.m_Key);
+      New.m_Key.empty()
+          ? 0
+          : RequestKeys::hash(New.m_Service, New.m_Team, New.m_Key);
   if (Key != 0) {
-    const KeyTable::Claim Claim = m_Keys.claim(Key, m_Now);
-    if (Claim == KeyTable::Claim::Repeated)
+    const RequestKeys::Claim Claim = m_Keys.claim(Key, m_Now);
+    if (Claim == RequestKeys::Claim::Repeated)
       return RefusalReason::RepeatedKey;
-    if (Claim == KeyTable::Claim::TableFull)
+    if (Claim == RequestKeys::Claim::TableFull)
       return RefusalReason::QueueFull;
   }
   if (New.m_Team.empty() || m_Quotas.tryTake(New.m_Team, New.m_Tasks, m_Now))
@@ -142,7 +142,7 @@
   Added.m_Team = New.m_Team;
   Added.m_NonIdempotent = New.m_NonIdempotent;
   if (!New.m_Key.empty())
-    Added.m_Key = KeyTable::hash(New.m_Service, New.m_Team, New.m_Key);
+    Added.m_Key = RequestKeys::hash(New.m_Service, New.m_Team, New.m_Key);
   Added.m_Need = New.m_Need;
   Added.m_Trace = New.m_Trace;
   if (Added.m_Trace.m_TraceId == RequestId{})
@@ -153,7 +153,9 @@
   Added.m_Deadline = m_Now + deadlineOf(To, New);
   Added.m_DeadlineTimer =
       m_Timers.add(Added.m_Deadline, TimerKind::Deadline, Index);
-  To.m_Budget.requestArrived(m_Preset->m_RetryPercent, m_Now);
+  // Tasks of jobs are never retried, so jobs earn nothing.
+  if (!Added.isJob())
+    To.m_Budget.requestArrived(m_Preset->m_RetryPercent, m_Now);
   return Index;
 }
 
--- a/src/entry/EntryAgents.cpp
+++ b/src/entry/EntryAgents.cpp
@@ -27,6 +27,11 @@
     return rejectHello(Link, Hello);
   const AgentRowIndex Index = rowNamed(Hello.m_AgentId);
   AgentRow &Row = m_Rows[Index];
+  // First, so that nothing below is sent on a link that is given up.
+  if (Row.m_Link && *Row.m_Link != Link) {
+    closeLink(*Row.m_Link, "the agent opened another link");
+    Row.m_Link.reset();
+  }
   const HelloMeaning Meaning = Row.meaningOf(Hello);
   if (Meaning != HelloMeaning::SameWindow)
     outstandingUnknown(Row, "the agent has lost its record of the task");
@@ -63,8 +68,6 @@
 
 void EntryCore::Impl::attachLink(AgentRowIndex Index, LinkId Link) {
   AgentRow &Row = m_Rows[Index];
-  if (Row.m_Link)
-    closeLink(*Row.m_Link, "the agent opened another link");
   Row.m_Link = Link;
   m_Links[Link] = LinkOwner{false, Index};
   m_Timers.cancel(Row.m_GraceTimer);
@@ -81,7 +84,7 @@
 void EntryCore::Impl::updateIdentity(AgentRowIndex Index,
                                      const AgentHello &Hello) {
   AgentRow &Row = m_Rows[Index];
-  agentHeard(Row);
+  agentHeard(Index);
   Row.m_Incarnation = Hello.m_Incarnation;
   Row.m_WindowId = Hello.m_WindowId;
   Row.m_State = Hello.m_State;
@@ -181,6 +184,7 @@
   if (!std::exchange(Row.m_Reconciling, false))
     return;
   std::vector<Sequence> Kept;
+  RequestId LastCancelled;
   for (const SequenceReport &Report : Reply.m_Reports) {
     const AttemptIndex Found = Row.m_Ledger.find(Report.m_Sequence);
     if (Found == NoIndex)
@@ -194,8 +198,10 @@
     } else {
       Kept.push_back(Report.m_Sequence);
       // Cancellations made while the link was lost did not reach the agent.
-      if (m_Attempts[Found].m_Submission == NoIndex)
-        sendToAgent(Row, CancelTasks{m_Attempts[Found].m_Request});
+      const Attempt &Open = m_Attempts[Found];
+      if (Open.m_Submission == NoIndex &&
+          std::exchange(LastCancelled, Open.m_Request) != Open.m_Request)
+        sendToAgent(Row, CancelTasks{Open.m_Request});
     }
   }
   std::sort(Kept.begin(), Kept.end());
@@ -249,7 +255,7 @@
 void EntryCore::Impl::agentMessage(AgentRowIndex Index,
                                    const LinkMessage &Message) {
   AgentRow &Row = m_Rows[Index];
-  agentHeard(Row);
+  agentHeard(Index);
   if (const auto *Result = std::get_if<TaskResult>(&Message))
     return resultReceived(Index, *Result);
   if (const auto *Refusal = std::get_if<TaskRefused>(&Message))
--- a/src/entry/EntryAttempts.cpp
+++ b/src/entry/EntryAttempts.cpp
@@ -55,13 +55,6 @@
   ++m_Counters.m_Refusals;
   if (std::exchange(m_Attempts[Index].m_Counted, false))
     m_Router.refused(*Row.m_Route, Refusal, m_Now);
-  // A leaving agent says so in its status too; the refusal may come first.
-  const bool Leaves = Refusal.m_Reason == RefusalReason::Leaving ||
-                      Refusal.m_Reason == RefusalReason::EndpointAbsent;
-  if (Leaves && Row.m_State == AgentState::Active) {
-    Row.m_State = AgentState::Leaving;
-    refreshAvailability(Row);
-  }
   attemptNotStarted(Index, Refusal.m_Reason);
 }
 
@@ -97,9 +90,12 @@
   m_Timers.cancel(Open.m_OrphanTimer);
   const Attempt Ended = Open;
   AgentRow &Row = m_Rows[Ended.m_Agent];
-  const bool WasFull = Row.m_Ledger.full();
+  const bool WasClosed = Row.m_Ledger.full() || Row.m_Reconciling;
   Row.m_Ledger.settle(Ended.m_Sequence);
-  if (WasFull)
+  // Nothing is in doubt any more; a reply that comes later is ignored.
+  if (Row.m_Ledger.outstanding() == 0)
+    Row.m_Reconciling = false;
+  if (WasClosed)
     refreshAvailability(Row);
   endSpan(Ended.m_Trace, Ended.m_SpanId, "dispatch", Row.m_Id, Ended.m_Start,
           Failed);
--- a/src/entry/EntryCoreImpl.h
+++ b/src/entry/EntryCoreImpl.h
@@ -6,7 +6,7 @@
 #include "entry/Arrival.h"
 #include "entry/ConfigTracker.h"
 #include "entry/EntryCore.h"
-#include "entry/KeyTable.h"
+#include "entry/RequestKeys.h"
 #include "entry/OutcomeLog.h"
 #include "entry/QuotaLedger.h"
 #include "entry/RetryBudget.h"
@@ -169,7 +169,7 @@
   void agentLost(AgentRowIndex Index);
   void graceEnded(AgentRowIndex Index);
   void makeDormant(AgentRowIndex Index);
-  void agentHeard(AgentRow &Row);
+  void agentHeard(AgentRowIndex Index);
   void watchSilence(AgentRowIndex Index);
   void silenceCheck(AgentRowIndex Index);
   void pingOrWait(AgentRowIndex Index);
@@ -227,7 +227,7 @@
 
   Router m_Router;
   QuotaLedger m_Quotas;
-  KeyTable m_Keys;
+  RequestKeys m_Keys;
   TimerQueue m_Timers;
   OutcomeLog m_OutcomeLog;
   TimerId m_LogTimer = NoTimer;
--- a/src/entry/EntryDispatch.cpp
+++ b/src/entry/EntryDispatch.cpp
@@ -61,7 +61,12 @@
       m_Router.choose(Query, m_Preset->m_Routing, m_Now, Why);
   if (!Route)
     return std::nullopt;
-  return m_RowByRoute[*Route];
+  const AgentRowIndex Chosen = m_RowByRoute[*Route];
+  // The row decides: a router that is behind must not get a task sent past the
+  // end of the agent's window or to an agent whose tasks are in doubt.
+  if (!m_Rows[Chosen].takesWork())
+    return std::nullopt;
+  return Chosen;
 }
 
 AttemptIndex EntryCore::Impl::startAttempt(SubmissionIndex Owner,
--- a/src/entry/EntryLiveness.cpp
+++ b/src/entry/EntryLiveness.cpp
@@ -69,14 +69,16 @@
   m_Rows.remove(Oldest.m_Row);
 }
 
-void EntryCore::Impl::agentHeard(AgentRow &Row) {
+void EntryCore::Impl::agentHeard(AgentRowIndex Index) {
+  AgentRow &Row = m_Rows[Index];
   Row.m_LastHeard = m_Now;
   if (Row.m_Silence == SilenceState::Pinged)
     Row.m_Silence = SilenceState::Watched;
   if (Row.m_Silence != SilenceState::Suspected)
     return;
-  Row.m_Silence = SilenceState::Watched;
   log("agent-responds", {{"agent", Row.m_Id}});
+  m_Timers.cancel(Row.m_SilenceTimer);
+  watchSilence(Index);
   refreshAvailability(Row);
 }
 
--- a/src/entry/EntryPeers.cpp
+++ b/src/entry/EntryPeers.cpp
@@ -169,6 +169,7 @@
 void EntryCore::Impl::applyConfig() {
   const Configuration &Config = m_Config->m_Configuration;
   m_Quotas.configure(Config);
+  m_Router.setAgentQueue(m_Preset->m_AgentQueue);
   for (ServiceIndex Index = 0; Index < m_Services.size(); ++Index) {
     Service &Each = m_Services[Index];
     const auto Declared = Config.m_Services.find(Each.m_Name);
--- a/src/entry/KeyTable.cpp
+++ b/src/entry/RequestKeys.cpp
@@ -1,5 +1,5 @@
 // Claims and expiry of request keys.
-#include "entry/KeyTable.h"
+#include "entry/RequestKeys.h"
 
 namespace cyclamencroft {
 namespace {
@@ -18,13 +18,13 @@
 
 } // namespace
 
-std::uint64_t KeyTable::hash(std::string_view Service, std::string_view Team,
-                             std::string_view Key) {
+std::uint64_t RequestKeys::hash(std::string_view Service, std::string_view Team,
+                                std::string_view Key) {
   const std::uint64_t Hash = mix(mix(mix(FnvOffset, Service), Team), Key);
   return Hash == 0 ? 1 : Hash;
 }
 
-KeyTable::Claim KeyTable::claim(std::uint64_t Key, TimePoint Now) {
+RequestKeys::Claim RequestKeys::claim(std::uint64_t Key, TimePoint Now) {
   expire(Now);
   if (m_Keys.contains(Key))
     return Claim::Repeated;
@@ -34,13 +34,13 @@
   return Claim::Taken;
 }
 
-void KeyTable::release(std::uint64_t Key, TimePoint Now) {
+void RequestKeys::release(std::uint64_t Key, TimePoint Now) {
   m_Released.push_back(Released{Now + Memory, Key});
 }
 
-void KeyTable::forget(std::uint64_t Key) { m_Keys.erase(Key); }
+void RequestKeys::forget(std::uint64_t Key) { m_Keys.erase(Key); }
 
-void KeyTable::expire(TimePoint Now) {
+void RequestKeys::expire(TimePoint Now) {
   while (!m_Released.empty() && m_Released.front().m_Until <= Now) {
     m_Keys.erase(m_Released.front().m_Key);
     m_Released.pop_front();
--- a/src/entry/KeyTable.h
+++ b/src/entry/RequestKeys.h
@@ -12,7 +12,7 @@
 
 namespace cyclamencroft {
 
-class KeyTable {
+class RequestKeys {
 public:
   /// A released key is remembered for this long.
   static constexpr Duration Memory = std::chrono::minutes(10);
--- a/tests/unit/EntryCoreTest.cpp
+++ b/tests/unit/EntryCoreTest.cpp
@@ -52,7 +52,7 @@
   Entry.submit(1);
   Entry.submit(2);
   BOOST_REQUIRE(Entry.dispatches(Agent).size() == 1U);
-  Entry.refuse(Agent, 1);
+  Entry.refuse(Agent, 1, RefusalReason::DeadlinePassed);
   const auto Again = Entry.dispatches(Agent);
   BOOST_REQUIRE(Again.size() == 1U);
   BOOST_TEST((Again[0].m_Request == RequestId{1, 1}));
@@ -66,12 +66,12 @@
   Entry.submit(1);
   for (Sequence Number = 1; Number <= 16; ++Number) {
     BOOST_TEST(Entry.take<AnswerRequest>().empty());
-    Entry.refuse(Agent, Number);
+    Entry.refuse(Agent, Number, RefusalReason::DeadlinePassed);
   }
   const auto Answers = Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::NotRun));
-  BOOST_TEST((Answers[0].m_Reason == RefusalReason::NoSlot));
+  BOOST_TEST((Answers[0].m_Reason == RefusalReason::DeadlinePassed));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
