Test the entry's core and its queues

Cause: link loss, reconciliation, silence checks, admission, hedging, peers, configuration and shutdown were only compiled so far. Ruled out: tests that look into EntryCore; all go through events and commands, so that its parts may be divided differently.

--- /dev/null
+++ b/tests/unit/EntryAdmissionTest.cpp
@@ -0,0 +1,150 @@
+// Work that is refused before it starts, and what the caller is told.
+#include "EntryHarness.h"
+#include "entry/Admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cyclamencroft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Reason for which the entry refuses an event; None when it accepts it.
+template <class Event> RefusalReason refusal(EntryHarness &Entry, Event New) {
+  Entry.send(New);
+  const auto Requests = Entry.take<AnswerRequest>();
+  const auto Jobs = Entry.take<AnswerJob>();
+  for (const AnswerRequest &Each : Requests)
+    BOOST_TEST((Each.m_Outcome == Outcome::NotRun));
+  if (!Requests.empty())
+    return Requests[0].m_Reason;
+  return Jobs.empty() ? RefusalReason::None : Jobs[0].m_Reason;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EntryAdmission)
+
+// Guards against work that is accepted although it can't or may not run.
+BOOST_AUTO_TEST_CASE(WorkThatCannotRunIsRefusedWithItsReason) {
+  EntryHarness Entry;
+  RequestArrived New = Entry.request(1);
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::NoEndpoint));
+  Entry.connect("a", 1);
+  New.m_Service = "bakery";
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::UnknownService));
+  New = Entry.request(1);
+  New.m_Team = "nobody";
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::UnknownTeam));
+  New = Entry.request(1);
+  New.m_Need.m_Cores = 17;
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::SizeFitsNoEndpoint));
+  New = Entry.request(1);
+  New.m_Deadline = -1ms;
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::DeadlinePassed));
+  BOOST_TEST(
+      (refusal(Entry, Entry.job(1, 0)) == RefusalReason::SizeFitsNoEndpoint));
+  BOOST_TEST(
+      (refusal(Entry, Entry.job(1, 201)) == RefusalReason::SizeFitsNoEndpoint));
+  Entry.adopt(2, "closed");
+  BOOST_TEST(
+      (refusal(Entry, Entry.request(1)) == RefusalReason::PresetRefuses));
+  Entry.adopt(3);
+  BOOST_TEST((refusal(Entry, Entry.request(1)) == RefusalReason::None));
+  Entry.send(ShutdownRequested{});
+  BOOST_TEST((refusal(Entry, Entry.request(2)) == RefusalReason::ShuttingDown));
+}
+
+// Guards against queues without limit.
+BOOST_AUTO_TEST_CASE(FullQueueRefuses) {
+  EntryHarness Entry;
+  Entry.connect("a", 1);
+  for (std::uint64_t Number = 1; Number <= 5; ++Number)
+    BOOST_TEST((refusal(Entry, Entry.job(Number, 200)) == RefusalReason::None));
+  BOOST_TEST((refusal(Entry, Entry.job(6, 200)) == RefusalReason::QueueFull));
+  BOOST_TEST(Entry.status().m_Queued == 999U);
+  BOOST_TEST((refusal(Entry, Entry.request(7)) == RefusalReason::None));
+  BOOST_TEST((refusal(Entry, Entry.request(8)) == RefusalReason::QueueFull));
+}
+
+// Guards against two submissions that cancellation could not tell apart.
+BOOST_AUTO_TEST_CASE(RequestIdInUseIsRefused) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 4);
+  Entry.submit(1);
+  RequestArrived Again = Entry.request(1);
+  Again.m_Caller = CallerId{2};
+  BOOST_TEST((refusal(Entry, Again) == RefusalReason::RepeatedKey));
+  Entry.finish(Agent, 1);
+  BOOST_TEST(Entry.take<AnswerRequest>().size() == 1U);
+  BOOST_TEST((refusal(Entry, Again) == RefusalReason::None));
+}
+
+// Guards against teams that exceed their quota, and against a quota that holds
+// back other teams or a key that is kept for a refused request.
+BOOST_AUTO_TEST_CASE(TeamBeyondItsQuotaIsRefused) {
+  EntryHarness Entry;
+  Entry.connect("a", 100);
+  JobSubmitted New = Entry.job(1, 10);
+  New.m_Team = "depot";
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
+  RequestArrived Beyond = Entry.request(2);
+  Beyond.m_Team = "depot";
+  Beyond.m_NonIdempotent = true;
+  Beyond.m_Key = "refill-9";
+  BOOST_TEST((refusal(Entry, Beyond) == RefusalReason::QuotaExceeded));
+  RequestArrived Other = Entry.request(3);
+  Other.m_Team = "quay";
+  BOOST_TEST((refusal(Entry, Other) == RefusalReason::None));
+  Entry.advance(5s);
+  BOOST_TEST((refusal(Entry, Beyond) == RefusalReason::None));
+}
+
+// Guards against callers that wait for work that can't start in time.
+BOOST_AUTO_TEST_CASE(ExpectedWaitPastTheDeadlineRefuses) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  Entry.submit(1);
+  Entry.finish(Agent, 1);
+  Entry.take<AnswerRequest>();
+  Entry.submitJob(2, 150);
+  RequestArrived New = Entry.request(3);
+  New.m_Deadline = 5ms;
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
+  for (std::uint64_t Number = 4; Number <= 53; ++Number)
+    Entry.submit(Number);
+  New = Entry.request(54);
+  New.m_Deadline = 4s;
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::WaitPastDeadline));
+  New.m_Deadline = 8s;
+  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
+}
+
+// Guards against estimates that ignore turns, slots or other entries.
+BOOST_AUTO_TEST_CASE(ExpectedWaitFollowsTurnsAndShare) {
+  ServiceLoad Load;
+  Load.m_WaitingRequests = 8;
+  Load.m_WaitingJobs = 2;
+  Load.m_WaitingJobTasks = 100;
+  Load.m_Slots = 10;
+  Load.m_Entries = 2;
+  Load.m_RunTime = 100ms;
+  BOOST_TEST(expectedWait(SubmissionKind::Request, 1, Load).count() == 200000);
+  BOOST_TEST(expectedWait(SubmissionKind::Job, 4, Load).count() == 400000);
+  BOOST_TEST(expectedWait(SubmissionKind::Job, 1, ServiceLoad()).count() == 0);
+}
+
+// Guards against a log line for each refusal under overload.
+BOOST_AUTO_TEST_CASE(RefusalsAreLoggedOncePerSecond) {
+  EntryHarness Entry;
+  for (std::uint64_t Number = 1; Number <= 500; ++Number)
+    Entry.submit(Number);
+  Entry.take<LogDecision>();
+  Entry.advance(1s);
+  const auto Lines = Entry.take<LogDecision>();
+  BOOST_REQUIRE(Lines.size() == 1U);
+  BOOST_TEST(Lines[0].m_Event == "work-refused");
+  BOOST_TEST(Lines[0].m_Fields[1].m_Value == "500");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryCoreTest.cpp
+++ b/tests/unit/EntryCoreTest.cpp
@@ -74,4 +74,161 @@
   BOOST_TEST((Answers[0].m_Reason == RefusalReason::DeadlinePassed));
 }
 
+// Guards against jobs that go on after they failed, and against a cancellation
+// for each task.
+BOOST_AUTO_TEST_CASE(FirstFailureFailsTheJobAndCancelsOncePerAgent) {
+  EntryHarness Entry;
+  const LinkId A = Entry.connect("a", 3);
+  const LinkId B = Entry.connect("b", 3);
+  Entry.submitJob(1, 8);
+  BOOST_TEST(Entry.dispatches(A).size() == 3U);
+  BOOST_TEST(Entry.dispatches(B).size() == 3U);
+  Entry.finish(A, 2, Outcome::Failed);
+  const auto Answers = Entry.take<AnswerJob>();
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].m_Outcome == Outcome::Failed));
+  BOOST_TEST(Answers[0].m_Tasks.empty());
+  BOOST_TEST(Entry.sent<CancelTasks>(A).size() == 1U);
+  BOOST_TEST(Entry.sent<CancelTasks>(B).size() == 1U);
+  Entry.finish(A, 1);
+  Entry.finish(B, 1);
+  BOOST_TEST(Entry.dispatches(A).size() + Entry.dispatches(B).size() == 0U);
+  BOOST_TEST(Entry.take<AnswerJob>().empty());
+}
+
+// Guards against "not run" for work that may have run, and against starts after
+// a cancellation.
+BOOST_AUTO_TEST_CASE(CancellationTellsWhetherTheRequestMayHaveRun) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  Entry.submit(1);
+  Entry.submit(2);
+  Entry.dispatches(Agent);
+  Entry.send(CancelRequested{RequestId{1, 2}});
+  Entry.send(CancelRequested{RequestId{1, 1}});
+  const auto Answers = Entry.take<AnswerRequest>();
+  BOOST_REQUIRE(Answers.size() == 2U);
+  BOOST_TEST((Answers[0].m_Outcome == Outcome::NotRun));
+  BOOST_TEST((Answers[0].m_Reason == RefusalReason::Cancelled));
+  BOOST_TEST((Answers[1].m_Outcome == Outcome::Cancelled));
+  BOOST_TEST(Entry.sent<CancelTasks>(Agent).size() == 1U);
+  Entry.refuse(Agent, 1, RefusalReason::Cancelled);
+  BOOST_TEST(Entry.dispatches(Agent).empty());
+}
+
+// Guards against answers to closed connections and work for nobody.
+BOOST_AUTO_TEST_CASE(WorkOfACallerThatIsGoneIsCancelledSilently) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  Entry.submit(1);
+  Entry.submitJob(2, 3);
+  Entry.dispatches(Agent);
+  Entry.send(CallerGone{CallerId{1}});
+  Entry.send(CallerGone{CallerId{2}});
+  Entry.finish(Agent, 1);
+  BOOST_TEST(Entry.sent<CancelTasks>(Agent).size() == 1U);
+  BOOST_TEST(Entry.dispatches(Agent).empty());
+  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  BOOST_TEST(Entry.take<AnswerJob>().empty());
+  BOOST_TEST(Entry.status().m_Queued == 0U);
+}
+
+// Guards against dispatches after the deadline and against "not run" for a
+// task that is running.
+BOOST_AUTO_TEST_CASE(DeadlineAnswersQueuedNotRunAndRunningUnknown) {
+  for (const bool NonIdempotent : {false, true}) {
+    EntryHarness Entry;
+    const LinkId Agent = Entry.connect("a", 1);
+    Entry.submit(1, NonIdempotent);
+    Entry.submit(2, NonIdempotent);
+    BOOST_TEST(Entry.dispatches(Agent).size() == 1U);
+    Entry.advance(9s);
+    Entry.receive(Agent, Heartbeat{1});
+    Entry.advance(1s);
+    const auto Answers = Entry.take<AnswerRequest>();
+    BOOST_REQUIRE(Answers.size() == 2U);
+    BOOST_TEST((Answers[0].m_Outcome == Outcome::Unknown));
+    BOOST_TEST((Answers[1].m_Outcome == Outcome::NotRun));
+    BOOST_TEST((Answers[1].m_Reason == RefusalReason::DeadlinePassed));
+    BOOST_TEST(Entry.sent<CancelTasks>(Agent).size() == 1U);
+    Entry.finish(Agent, 1);
+    BOOST_TEST(Entry.dispatches(Agent).empty());
+  }
+}
+
+// Guards against a shutdown that interrupts work or never ends.
+BOOST_AUTO_TEST_CASE(ShutdownCompletesAcceptedWorkThenSaysGoodbye) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  Entry.submit(1);
+  Entry.submit(2);
+  Entry.send(ShutdownRequested{});
+  BOOST_TEST(!Entry.status().m_Ready);
+  Entry.finish(Agent, 1);
+  BOOST_TEST(Entry.take<Drained>().empty());
+  Entry.finish(Agent, 2);
+  BOOST_TEST(Entry.take<AnswerRequest>().size() == 2U);
+  BOOST_TEST(Entry.sent<Goodbye>(Agent).size() == 1U);
+  Entry.send(Tick{});
+  BOOST_TEST(Entry.take<Drained>().size() == 1U);
+}
+
+// Guards against spans that don't join up with those of the agent.
+BOOST_AUTO_TEST_CASE(AttemptSpanIsTheParentInTheDispatch) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  RequestArrived New = Entry.request(1);
+  New.m_Trace = TraceContext{RequestId{8, 9}, 42};
+  Entry.send(New);
+  const auto Sent = Entry.dispatches(Agent);
+  Entry.finish(Agent, 1);
+  const auto Spans = Entry.take<SpanEnded>();
+  BOOST_REQUIRE(Spans.size() == 2U);
+  BOOST_TEST(Spans[0].m_Step == "dispatch");
+  BOOST_TEST(Spans[0].m_Peer == "a");
+  BOOST_TEST(Spans[0].m_SpanId == Sent[0].m_Trace.m_ParentSpanId);
+  BOOST_TEST(Spans[1].m_Step == "entry");
+  BOOST_TEST(Spans[1].m_SpanId == Spans[0].m_Trace.m_ParentSpanId);
+  BOOST_TEST(Spans[1].m_Trace.m_ParentSpanId == 42U);
+  BOOST_TEST((Spans[0].m_Trace.m_TraceId == RequestId{8, 9}));
+}
+
+// Guards against hedging where the preset forbids it, hedges of work that may
+// run once only, and attempts that go on after the answer.
+BOOST_AUTO_TEST_CASE(SlowIdempotentRequestIsHedgedWhereThePresetAllows) {
+  for (const bool Allowed : {true, false}) {
+    EntryHarness Entry;
+    Entry.adopt(2, Allowed ? "hedged" : "ordinary");
+    const LinkId A = Entry.connect("a", 1);
+    const LinkId B = Entry.connect("b", 1);
+    Entry.submit(1);
+    Entry.finish(Entry.dispatches(A).empty() ? B : A, 1);
+    Entry.take<SendMessage>();
+    Entry.submit(2, true);
+    Entry.advance(400ms);
+    BOOST_TEST(Entry.status().m_Hedges == 0U);
+    Entry.send(CancelRequested{RequestId{1, 2}});
+    Entry.take<AnswerRequest>();
+    for (const LinkId Each : {A, B})
+      for (const Dispatch &Sent : Entry.dispatches(Each))
+        Entry.refuse(Each, Sent.m_Sequence, RefusalReason::Cancelled);
+    Entry.take<SendMessage>();
+    Entry.submit(3);
+    const auto OnA = Entry.dispatches(A);
+    const LinkId First = OnA.empty() ? B : A;
+    const LinkId Second = OnA.empty() ? A : B;
+    Entry.advance(299ms);
+    BOOST_TEST(Entry.dispatches(Second).empty());
+    Entry.advance(1ms);
+    const auto Hedge = Entry.dispatches(Second);
+    BOOST_REQUIRE(Hedge.size() == (Allowed ? 1U : 0U));
+    if (!Allowed)
+      continue;
+    Entry.finish(Second, Hedge[0].m_Sequence);
+    BOOST_TEST(Entry.take<AnswerRequest>().size() == 1U);
+    BOOST_TEST(Entry.sent<CancelTasks>(First).size() == 1U);
+    BOOST_TEST(Entry.sent<CancelTasks>(Second).empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/EntryPeersTest.cpp
@@ -0,0 +1,109 @@
+// Configuration versions, peer entries and quota reports.
+#include "EntryHarness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cyclamencroft;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(EntryPeers)
+
+// Guards against a late or repeated adoption that reverts a change.
+BOOST_AUTO_TEST_CASE(LowerVersionIsNeverAdopted) {
+  EntryHarness Entry;
+  Entry.adopt(5, "hedged");
+  Entry.adopt(4, "ordinary");
+  Entry.adopt(5, "ordinary");
+  BOOST_TEST(Entry.status().m_ConfigVersion == 5U);
+  BOOST_TEST(Entry.status().m_Preset == "hedged");
+}
+
+// Guards against peers that miss a version, and against transfers to peers that
+// have it.
+BOOST_AUTO_TEST_CASE(PeersThatAreBehindGetTheConfiguration) {
+  EntryHarness Entry;
+  const LinkId Behind = Entry.connectPeer("entry-brest-1", 0);
+  const LinkId Current = Entry.connectPeer("entry-brest-2", 1);
+  BOOST_TEST(Entry.sent<EntryHello>(Behind).size() == 1U);
+  const auto Transfers = Entry.sent<ConfigTransfer>(Behind);
+  BOOST_REQUIRE(Transfers.size() == 1U);
+  BOOST_TEST(Transfers[0].m_Document == "document 1");
+  BOOST_TEST(Entry.sent<ConfigTransfer>(Current).empty());
+  Entry.receive(Current, Heartbeat{2});
+  Entry.adopt(2);
+  BOOST_TEST(Entry.sent<ConfigTransfer>(Behind).size() == 1U);
+  BOOST_TEST(Entry.sent<ConfigTransfer>(Current).empty());
+}
+
+// Guards against an entry that serves an old configuration for longer than 7 s
+// after it heard of a newer one, and against one that stops too early.
+BOOST_AUTO_TEST_CASE(EntryBehindForSevenSecondsTakesNoWork) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 2);
+  Entry.receive(Agent, Heartbeat{3});
+  Entry.advance(6900ms);
+  BOOST_TEST(Entry.status().m_Ready);
+  Entry.advance(100ms);
+  BOOST_TEST(!Entry.status().m_Ready);
+  Entry.submit(1);
+  const auto Answers = Entry.take<AnswerRequest>();
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].m_Reason == RefusalReason::NoConfiguration));
+  Entry.adopt(3);
+  BOOST_TEST(Entry.status().m_Ready);
+}
+
+// Guards against a stream of ever newer versions that hides that none of them
+// arrives.
+BOOST_AUTO_TEST_CASE(NewerNewsDoesNotExtendTheLimit) {
+  EntryHarness Entry;
+  const LinkId Peer = Entry.connectPeer("entry-brest-1", 2);
+  Entry.advance(4s);
+  Entry.receive(Peer, Heartbeat{3});
+  Entry.advance(2s);
+  Entry.adopt(2);
+  Entry.advance(2s);
+  BOOST_TEST(Entry.status().m_Ready);
+  Entry.advance(3s);
+  BOOST_TEST(!Entry.status().m_Ready);
+}
+
+// Guards against an entry that serves without knowing the configuration.
+BOOST_AUTO_TEST_CASE(EntryWithoutConfigurationServesNothing) {
+  EntryHarness Entry{EntryHarness::Bare{}};
+  const LinkId Agent = Entry.connect("a");
+  BOOST_TEST(Entry.sent<ConfigView>(Agent).empty());
+  Entry.submit(1);
+  const auto Answers = Entry.take<AnswerRequest>();
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].m_Reason == RefusalReason::NoConfiguration));
+  Entry.adopt(1);
+  BOOST_TEST(Entry.sent<ConfigView>(Agent).size() == 1U);
+}
+
+// Guards against peers that fall back to even shares for want of reports.
+BOOST_AUTO_TEST_CASE(PeersGetAQuotaReportEachSecond) {
+  EntryHarness Entry;
+  const LinkId Peer = Entry.connectPeer("entry-brest-1", 1);
+  Entry.advance(3s);
+  BOOST_TEST(Entry.sent<QuotaReport>(Peer).size() == 3U);
+  Entry.close(Peer);
+  Entry.advance(3s);
+  BOOST_TEST(Entry.sent<QuotaReport>(Peer).empty());
+}
+
+// Guards against shares of slots for links instead of entries.
+BOOST_AUTO_TEST_CASE(TwoLinksToOnePeerCountOnce) {
+  EntryHarness Entry;
+  Entry.connectPeer("entry-brest-1", 1);
+  const LinkId Second = Entry.connectPeer("entry-brest-1", 1);
+  auto Hello = Entry.sent<EntryHello>(Second);
+  BOOST_REQUIRE(Hello.size() == 1U);
+  BOOST_TEST(Hello[0].m_Entries == 2U);
+  Entry.close(Second);
+  Hello = Entry.sent<EntryHello>(Entry.connect("a"));
+  BOOST_REQUIRE(Hello.size() == 1U);
+  BOOST_TEST(Hello[0].m_Entries == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
