--- a/src/entry/EntryAdmission.cpp
+++ b/src/entry/EntryAdmission.cpp
@@ -7,13 +7,35 @@
 #include <utility>
 
 namespace cyclamencroft {
+namespace {
+
+/// One sentence about a refusal for the caller.
+std::string detailOf(RefusalReason Reason, const Arrival &New) {
+  switch (Reason) {
+  case RefusalReason::UnknownService:
+    return "the configuration has no service " + New.m_Service;
+  case RefusalReason::UnknownTeam:
+    return "the configuration has no team " + New.m_Team;
+  case RefusalReason::QuotaExceeded:
+    return "the quota of team " + New.m_Team + " is used up";
+  case RefusalReason::SizeFitsNoEndpoint:
+    if (New.m_Tasks == 0 || New.m_Tasks > MaxJobTasks)
+      return "a job has 1 to " + std::to_string(MaxJobTasks) + " tasks";
+    return "no connected endpoint of the service has the declared size";
+  case RefusalReason::RepeatedKey:
+    return "the key or request id is in use or was used a short time ago";
+  default:
+    return "refused before the start: " + std::string(toString(Reason));
+  }
+}
+
+} // namespace
 
 void EntryCore::Impl::on(const RequestArrived &Event) {
   const Arrival New(Event);
-  std::string Detail;
-  const RefusalReason Reason = admit(New, Detail);
+  const RefusalReason Reason = admit(New);
   if (Reason != RefusalReason::None)
-    return refuse(New, Reason, std::move(Detail));
+    return refuse(New, Reason);
   ++m_Counters.m_Requests;
   const SubmissionIndex Index = accept(New);
   Submission &Added = m_Submissions[Index];
@@ -26,10 +48,9 @@
 
 void EntryCore::Impl::on(const JobSubmitted &Event) {
   const Arrival New(Event);
-  std::string Detail;
-  const RefusalReason Reason = admit(New, Detail);
+  const RefusalReason Reason = admit(New);
   if (Reason != RefusalReason::None)
-    return refuse(New, Reason, std::move(Detail));
+    return refuse(New, Reason);
   ++m_Counters.m_Jobs;
   const SubmissionIndex Index = accept(New);
   Submission &Added = m_Submissions[Index];
@@ -43,7 +64,7 @@
   markDirty(Added.m_Service);
 }
 
-RefusalReason EntryCore::Impl::admit(const Arrival &New, std::string &Detail) {
+RefusalReason EntryCore::Impl::admit(const Arrival &New) {
   RefusalReason Reason = checkServing(New);
   if (Reason != RefusalReason::None)
     return Reason;
@@ -53,9 +74,6 @@
     Reason = checkLoad(To, New);
   if (Reason == RefusalReason::None)
     Reason = takeKeyAndQuota(New);
-  if (Reason == RefusalReason::SizeFitsNoEndpoint)
-    Detail = "no connected endpoint has the declared size, or the job does not "
-             "have 1 to 200 tasks";
   return Reason;
 }
 
@@ -159,11 +177,9 @@
   return Index;
 }
 
-void EntryCore::Impl::refuse(const Arrival &New, RefusalReason Reason,
-                             std::string Detail) {
+void EntryCore::Impl::refuse(const Arrival &New, RefusalReason Reason) {
   m_OutcomeLog.countRefusal(Reason);
-  if (Detail.empty())
-    Detail = "refused at admission: " + std::string(toString(Reason));
+  std::string Detail = detailOf(Reason, New);
   if (New.m_Kind == SubmissionKind::Job) {
     m_Commands->emplace_back(AnswerJob{New.m_Caller,
                                        New.m_Request,
--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -56,10 +56,7 @@
   Status.m_ConfigVersion = m_Versions.current();
   if (m_Config)
     Status.m_Preset = m_Config->m_PresetName;
-  Status.m_Agents = static_cast<std::uint64_t>(
-      std::count_if(m_RowById.begin(), m_RowById.end(), [this](const auto &At) {
-        return m_Rows[At.second].m_Link.has_value();
-      }));
+  Status.m_Agents = m_Links.size() - m_PeerList.size();
   Status.m_Queued = 0;
   for (const Service &Each : m_Services)
     Status.m_Queued += Each.m_Queue.waitingTasks();
--- a/src/entry/EntryCoreImpl.h
+++ b/src/entry/EntryCoreImpl.h
@@ -6,9 +6,9 @@
 #include "entry/Arrival.h"
 #include "entry/ConfigTracker.h"
 #include "entry/EntryCore.h"
-#include "entry/RequestKeys.h"
 #include "entry/OutcomeLog.h"
 #include "entry/QuotaLedger.h"
+#include "entry/RequestKeys.h"
 #include "entry/RetryBudget.h"
 #include "entry/Router.h"
 #include "entry/ServiceQueue.h"
@@ -99,14 +99,14 @@
   static std::string protocolMismatch(std::uint32_t Theirs);
 
   // Admission (EntryAdmission.cpp).
-  RefusalReason admit(const Arrival &New, std::string &Detail);
+  RefusalReason admit(const Arrival &New);
   RefusalReason checkServing(const Arrival &New) const;
   RefusalReason checkFit(const Service &To, const Arrival &New) const;
   RefusalReason checkLoad(const Service &To, const Arrival &New) const;
   RefusalReason takeKeyAndQuota(const Arrival &New);
   Duration deadlineOf(const Service &To, const Arrival &New) const;
   SubmissionIndex accept(const Arrival &New);
-  void refuse(const Arrival &New, RefusalReason Reason, std::string Detail);
+  void refuse(const Arrival &New, RefusalReason Reason);
   ServiceIndex serviceNamed(const std::string &Name);
 
   // Dispatch (EntryDispatch.cpp).
--- a/src/entry/ServiceQueue.cpp
+++ b/src/entry/ServiceQueue.cpp
@@ -88,9 +88,13 @@
 std::uint32_t ServiceQueue::laneFor(const Size &Need) {
   std::size_t Unused = m_Lanes.size();
   for (std::size_t Index = 0; Index < m_Lanes.size(); ++Index) {
-    if (sameSize(m_Lanes[Index].m_Need, Need))
+    Lane &Each = m_Lanes[Index];
+    // A lane that ran empty while blocked is not unblocked by later events.
+    if (Each.empty())
+      Each.m_Blocked = false;
+    if (sameSize(Each.m_Need, Need))
       return static_cast<std::uint32_t>(Index);
-    if (m_Lanes[Index].empty())
+    if (Each.empty())
       Unused = Index;
   }
   if (Unused == m_Lanes.size()) {
@@ -99,7 +103,6 @@
     m_Lanes.emplace_back();
   }
   m_Lanes[Unused].m_Need = Need;
-  m_Lanes[Unused].m_Blocked = false;
   return static_cast<std::uint32_t>(Unused);
 }
 
--- a/tests/unit/EntryAtMostOnceTest.cpp
+++ b/tests/unit/EntryAtMostOnceTest.cpp
@@ -90,16 +90,20 @@
   BOOST_TEST(Entry.take<AnswerRequest>().empty());
 }
 
-// Guards against treating silence about a sequence as "not started".
-BOOST_AUTO_TEST_CASE(SequenceMissingInTheReplyIsUnknown) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  Entry.close(Old);
-  const LinkId New = Entry.connect("a");
-  Entry.receive(New, ReconcileReply{});
-  BOOST_TEST(Entry.dispatches(New).empty());
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
+// Guards against treating "can't be told", or silence about a sequence, as "not
+// started".
+BOOST_AUTO_TEST_CASE(SequenceUnknownOrMissingInTheReplyIsUnknown) {
+  for (const bool Missing : {false, true}) {
+    EntryHarness Entry;
+    const LinkId Old = Entry.connect("a");
+    Entry.submit(1, true);
+    Entry.close(Old);
+    const LinkId New = Entry.connect("a");
+    Missing ? Entry.receive(New, ReconcileReply{})
+            : reply(Entry, New, 1, SequenceState::Unknown);
+    BOOST_TEST(Entry.dispatches(New).empty());
+    BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
+  }
 }
 
 // Guards against reconciling with an agent that has lost its record.
--- a/tests/unit/EntryCoreTest.cpp
+++ b/tests/unit/EntryCoreTest.cpp
@@ -156,6 +156,21 @@
   }
 }
 
+// Guards against starts of overdue work when ticks come late.
+BOOST_AUTO_TEST_CASE(OverdueRequestIsNotDispatchedBeforeALateTick) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  Entry.submit(1);
+  Entry.submit(2);
+  Entry.dispatches(Agent);
+  Entry.skip(10s);
+  Entry.finish(Agent, 1);
+  BOOST_TEST(Entry.dispatches(Agent).empty());
+  const auto Answers = Entry.take<AnswerRequest>();
+  BOOST_REQUIRE(Answers.size() == 2U);
+  BOOST_TEST((Answers[1].m_Outcome == Outcome::NotRun));
+}
+
 // Guards against a shutdown that interrupts work or never ends.
 BOOST_AUTO_TEST_CASE(ShutdownCompletesAcceptedWorkThenSaysGoodbye) {
   EntryHarness Entry;
@@ -231,4 +246,17 @@
   }
 }
 
+// Guards against two attempts at one agent, which a cancellation by request id
+// could not tell apart.
+BOOST_AUTO_TEST_CASE(HedgeNeedsASecondAgent) {
+  EntryHarness Entry;
+  Entry.adopt(2, "hedged");
+  const LinkId Agent = Entry.connect("a", 4);
+  Entry.submit(1);
+  Entry.finish(Agent, 1);
+  Entry.submit(2);
+  Entry.advance(900ms);
+  BOOST_TEST(Entry.dispatches(Agent).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryHarness.h
+++ b/tests/unit/EntryHarness.h
@@ -25,6 +25,9 @@
   /// Moves time forward and delivers every tick that falls due.
   void advance(Duration Step);
 
+  /// Moves time forward without ticks, as a busy daemon does.
+  void skip(Duration Step) { m_Now += Step; }
+
   /// Adopts a version of the test configuration with \p Preset in effect.
   void adopt(ConfigVersion Version, const std::string &Preset = "ordinary");
   static ConfigStatePtr makeConfig(ConfigVersion Version,
--- a/tests/unit/ServiceQueueTest.cpp
+++ b/tests/unit/ServiceQueueTest.cpp
@@ -112,6 +112,16 @@
   BOOST_TEST(takeNext() == Large);
 }
 
+// Guards against a queue that stays blocked for good: its tasks expired while
+// no endpoint was free, so that no event about a slot unblocks it later.
+BOOST_AUTO_TEST_CASE(LaneThatRanEmptyWhileBlockedTakesNewWork) {
+  const SubmissionIndex Expired = add(0);
+  m_Queue.block(Expired);
+  m_Queue.remove(Expired);
+  const SubmissionIndex Next = add(0);
+  BOOST_TEST(takeNext() == Next);
+}
+
 // Guards against counts that drift from the content, which would leak the
 // queue limit, and against links to removed submissions.
 BOOST_AUTO_TEST_CASE(RemovalKeepsCountsAndOrder) {
