Start reading the configuration stream near its end

Cause: a restarted entry, and every publishing command, read all records kept.

The watcher's check of a 410 now compares with the offset asked for, and a log that ends below what was read is reported from the second answer on, since a peer's newer state can overtake one answer.

--- a/src/cli/ConfigPublisher.cpp
+++ b/src/cli/ConfigPublisher.cpp
@@ -131,26 +131,22 @@
     : m_LogAddress(std::move(LogAddress)) {}
 
 std::optional<Error> StreamReader::catchUp(Duration Wait) {
-  while (true) {
-    const std::uint64_t Asked = m_Judge.nextOffset();
+  do {
+    const LogRead Asked = m_Follower.nextRead();
     const auto Outcome = parseLogRead(
         m_LogAddress, callLog(makeLogRead(m_LogAddress, Asked, Wait)));
     if (const auto *Fault = std::get_if<Error>(&Outcome))
       return *Fault;
     if (const auto *Truncated = std::get_if<LogTruncated>(&Outcome)) {
-      if (Truncated->m_First <= Asked)
+      if (!m_Follower.take(*Truncated, Asked))
         return Error{"read log", m_LogAddress,
                      "status 410 although the record is kept"};
-      m_Judge.truncatedTo(Truncated->m_First);
       continue;
     }
-    const auto &Batch = std::get<LogBatch>(Outcome);
-    for (const LogRecord &Record : Batch.m_Records)
-      for (Judgement &Value : m_Judge.consume(Record.m_Offset, Record.m_Data))
-        m_Decisions.push_back(std::move(Value));
-    if (m_Judge.nextOffset() >= Batch.m_Next || Batch.m_Records.empty())
-      return std::nullopt;
-  }
+    for (Judgement &Value : m_Follower.take(std::get<LogBatch>(Outcome)))
+      m_Decisions.push_back(std::move(Value));
+  } while (!m_Follower.isCaughtUp());
+  return std::nullopt;
 }
 
 const Judgement *StreamReader::decisionOn(const std::string &ChangeId) const {
--- a/src/cli/ConfigPublisher.h
+++ b/src/cli/ConfigPublisher.h
@@ -2,7 +2,7 @@
 // it.
 #pragma once
 
-#include "config/ConfigJudge.h"
+#include "config/StreamFollower.h"
 #include "core/Error.h"
 #include "core/RuntimeClock.h"
 
@@ -13,7 +13,7 @@
 
 namespace cyclamencroft {
 
-/// Reads the stream from its first record kept and judges it.
+/// Reads the stream and judges it.
 class StreamReader {
 public:
   explicit StreamReader(std::string LogAddress);
@@ -22,16 +22,16 @@
   /// nothing to read. Nothing on success.
   std::optional<Error> catchUp(Duration Wait = {});
 
-  const ConfigJudge &judge() const { return m_Judge; }
+  const ConfigJudge &judge() const { return m_Follower.judge(); }
 
   /// The final decision on a change; null while there is none.
   const Judgement *decisionOn(const std::string &ChangeId) const;
-  /// The change that made \p Version; null when it is no longer in the log.
+  /// The change that made \p Version; null when it was not read.
   const Judgement *makerOf(ConfigVersion Version) const;
 
 private:
   std::string m_LogAddress;
-  ConfigJudge m_Judge;
+  StreamFollower m_Follower;
   std::vector<Judgement> m_Decisions;
 };
 
--- a/src/config/ConfigJudge.cpp
+++ b/src/config/ConfigJudge.cpp
@@ -67,9 +67,12 @@
 }
 
 void ConfigJudge::truncatedTo(std::uint64_t First) {
-  if (First <= m_Next)
-    return;
-  m_Current = nullptr;
+  if (First > m_Next)
+    restartAt(First);
+}
+
+void ConfigJudge::restartAt(std::uint64_t First) {
+  m_Current = First == 0 ? std::make_shared<ConfigState>() : nullptr;
   m_Held.clear();
   m_HeldBytes = 0;
   m_Start = First;
--- a/src/config/ConfigJudge.h
+++ b/src/config/ConfigJudge.h
@@ -52,6 +52,10 @@
   /// they went are a gap.
   void truncatedTo(std::uint64_t First);
 
+  /// Reads again from \p First on. The version there is not known, except at
+  /// offset 0; the adopted state is kept.
+  void restartAt(std::uint64_t First);
+
   /// Takes a configuration from a peer. False when it is not above the state
   /// held, invalid, or contradicts what was read; \p Reason says which.
   bool offer(const ConfigTransfer &Transfer, std::string &Reason);
--- a/src/config/ConfigWatcher.cpp
+++ b/src/config/ConfigWatcher.cpp
@@ -58,7 +58,7 @@
        const ConfigWatcherOptions &Options)
       : m_Io(Io), m_LogAddress(std::move(LogAddress)),
         m_OnAdopted(std::move(OnAdopted)), m_Options(Options),
-        m_Random(std::random_device{}()),
+        m_Random(std::random_device{}()), m_Follower(Options.m_Tail),
         m_Policy(Options.m_Snapshots, m_Random()), m_PollTimer(Io),
         m_SnapshotTimer(Io) {}
 
@@ -101,9 +101,12 @@
     });
   }
 
+  const ConfigJudge &judge() const { return m_Follower.judge(); }
+
   void read() {
+    m_Asked = m_Follower.nextRead();
     const HttpCall Call =
-        makeLogRead(m_LogAddress, m_Judge.nextOffset(), m_Options.m_PollWait);
+        makeLogRead(m_LogAddress, m_Asked, m_Options.m_PollWait);
     const auto Done = [Self = shared_from_this()](HttpOutcome Outcome) {
       Self->guarded([&Outcome](Impl &Own) {
         Own.readDone(parseLogRead(Own.m_LogAddress, std::move(Outcome)));
@@ -124,13 +127,10 @@
 
   void batchRead(const LogBatch &Batch) {
     readSucceeded();
-    for (const LogRecord &Record : Batch.m_Records)
-      for (const auto &Value : m_Judge.consume(Record.m_Offset, Record.m_Data))
-        logJudgement(Value);
+    for (const Judgement &Value : m_Follower.take(Batch))
+      logJudgement(Value);
     reportRewind(Batch);
-    m_First = Batch.m_First;
-    m_Next = Batch.m_Next;
-    if (m_Judge.nextOffset() >= m_Next)
+    if (m_Follower.isCaughtUp())
       caughtUp();
     if (Batch.m_Records.empty())
       readAfter(EmptyReadPause);
@@ -140,36 +140,36 @@
 
   void caughtUp() {
     tellAdopted();
-    if (!m_Judge.isCurrent() && !m_ReportedUnknown)
+    if (!judge().isCurrent() && !m_ReportedUnknown)
       logEvent(LogLevel::Warning, "config_version_unknown",
-               {{"first", show(m_First)},
+               {{"first", show(m_Follower.first())},
                 {"reason", "the log is truncated and has no snapshot that "
                            "covers the gap"}});
-    m_ReportedUnknown = !m_Judge.isCurrent();
+    m_ReportedUnknown = !judge().isCurrent();
     scheduleSnapshot();
   }
 
   void truncated(const LogTruncated &Answer) {
     readSucceeded();
-    if (Answer.m_First <= m_Asked)
+    if (!m_Follower.take(Answer, m_Asked))
       return readFailed(
           {"read log", m_LogAddress, "status 410 although the record is kept"});
-    logEvent(LogLevel::Warning, "config_log_truncated",
-             {{"wanted", show(m_Asked)},
-              {"first", show(Answer.m_First)}});
-    m_Judge.truncatedTo(Answer.m_First);
+    logEvent(
+        LogLevel::Warning, "config_log_truncated",
+        {{"wanted", show(m_Asked.m_From)}, {"first", show(Answer.m_First)}});
     read();
   }
 
   /// An append-only log never shrinks; one that does has lost accepted
-  /// changes, which an operator must know. The version in effect is kept.
+  /// changes, which an operator must know. The version in effect is kept. Once
+  /// may be an answer that a peer's newer state overtook.
   void reportRewind(const LogBatch &Batch) {
-    const bool Rewound = Batch.m_Next < m_Judge.nextOffset();
-    if (Rewound && !m_ReportedRewind && Batch.m_Records.empty())
+    const bool Rewound = Batch.m_Next < judge().nextOffset();
+    m_Rewinds = Rewound ? m_Rewinds + 1 : 0;
+    if (m_Rewinds == 2)
       logEvent(LogLevel::Error, "config_log_rewound",
-               {{"expected", show(m_Judge.nextOffset())},
+               {{"expected", show(judge().nextOffset())},
                 {"next", show(Batch.m_Next)}});
-    m_ReportedRewind = Rewound;
   }
 
   void readSucceeded() {
@@ -208,7 +208,7 @@
 
   void takeOffer(const ConfigTransfer &Transfer) {
     std::string Reason;
-    if (!m_Judge.offer(Transfer, Reason)) {
+    if (!m_Follower.offer(Transfer, Reason)) {
       logEvent(LogLevel::Debug, "config_offer_refused",
                {{"version", show(Transfer.m_Version)}, {"reason", Reason}});
       return;
@@ -217,7 +217,7 @@
   }
 
   void tellAdopted() {
-    const ConfigStatePtr State = m_Judge.adopted();
+    const ConfigStatePtr State = judge().adopted();
     if (!State || State->m_Version <= m_Told)
       return;
     m_Told = State->m_Version;
@@ -231,8 +231,8 @@
   void scheduleSnapshot() {
     if (!m_Options.m_AppendsSnapshots || m_AbandonAppend)
       return;
-    const auto Due =
-        m_Policy.due(RuntimeClock::now(), m_Judge, m_First, m_Next);
+    const auto Due = m_Policy.due(RuntimeClock::now(), judge(),
+                                  m_Follower.first(), m_Follower.next());
     if (!Due)
       m_SnapshotTimer.cancel();
     else
@@ -241,10 +241,11 @@
 
   void appendSnapshot() {
     const TimePoint Now = RuntimeClock::now();
-    if (m_AbandonAppend || !m_Policy.due(Now, m_Judge, m_First, m_Next))
+    if (m_AbandonAppend ||
+        !m_Policy.due(Now, judge(), m_Follower.first(), m_Follower.next()))
       return;
     m_Policy.tried(Now);
-    const std::string Record = formatConfigRecord(m_Judge.makeSnapshot());
+    const std::string Record = formatConfigRecord(judge().makeSnapshot());
     const auto Done = [Self = shared_from_this()](HttpOutcome Outcome) {
       Self->guarded([&Outcome](Impl &Own) {
         Own.appendDone(parseLogAppend(Own.m_LogAddress, std::move(Outcome)));
@@ -273,24 +274,22 @@
   std::recursive_mutex m_Mutex;
   bool m_Stopped = false;
   std::mt19937_64 m_Random;
-  ConfigJudge m_Judge;
+  StreamFollower m_Follower;
   SnapshotPolicy m_Policy;
   Timer m_PollTimer;
   Timer m_SnapshotTimer;
   /// Set while the call is open.
   std::function<void()> m_AbandonRead;
   std::function<void()> m_AbandonAppend;
-  /// Offset that the open read starts from.
-  std::uint64_t m_Asked = 0;
-  /// The log's offsets in the last answer.
-  std::uint64_t m_First = 0;
-  std::uint64_t m_Next = 0;
+  /// The open read.
+  LogRead m_Asked;
   /// Version last passed to m_OnAdopted.
   ConfigVersion m_Told = 0;
   /// Reads that failed since the last success.
   std::uint64_t m_Failures = 0;
   bool m_ReportedUnknown = false;
-  bool m_ReportedRewind = false;
+  /// Answers in a row that end below what was read.
+  std::uint64_t m_Rewinds = 0;
 };
 
 ConfigWatcher::ConfigWatcher(boost::asio::io_context &Io,
--- a/src/config/ConfigWatcher.h
+++ b/src/config/ConfigWatcher.h
@@ -5,6 +5,7 @@
 
 #include "config/Configuration.h"
 #include "config/SnapshotPolicy.h"
+#include "config/StreamFollower.h"
 #include "core/Messages.h"
 
 #include <functional>
@@ -24,6 +25,8 @@
   /// Pause after a failed read; doubles up to the longest, with jitter.
   Duration m_FirstBackoff{std::chrono::milliseconds(100)};
   Duration m_LongestBackoff{std::chrono::seconds(2)};
+  /// Records before the end from which a restart reads; 0 reads all.
+  std::uint64_t m_Tail = TailRecords;
   SnapshotLimits m_Snapshots;
   /// False leaves snapshots to others.
   bool m_AppendsSnapshots = true;
--- a/src/config/LogProtocol.cpp
+++ b/src/config/LogProtocol.cpp
@@ -41,14 +41,14 @@
 
 } // namespace
 
-HttpCall makeLogRead(const std::string &Address, std::uint64_t From,
+HttpCall makeLogRead(const std::string &Address, const LogRead &Read,
                      Duration Wait) {
   HttpCall Call;
   Call.m_Address = Address;
   const auto WaitMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
-  Call.m_Target = StreamTarget + "?from=" + std::to_string(From) +
-                  "&limit=" + std::to_string(RecordsARead) +
+  Call.m_Target = StreamTarget + "?from=" + std::to_string(Read.m_From) +
+                  "&limit=" + std::to_string(Read.m_Limit) +
                   "&wait_ms=" + std::to_string(WaitMs);
   Call.m_Timeout = Wait + ReadSlack;
   return Call;
--- a/src/config/LogProtocol.h
+++ b/src/config/LogProtocol.h
@@ -15,6 +15,13 @@
 /// with documents of 300 KB.
 constexpr std::uint32_t RecordsARead = 32;
 
+/// What to read.
+struct LogRead {
+  std::uint64_t m_From = 0;
+  /// Most records in the answer.
+  std::uint32_t m_Limit = RecordsARead;
+};
+
 struct LogRecord {
   std::uint64_t m_Offset = 0;
   std::string m_Data;
@@ -39,8 +46,8 @@
 /// whatever the error, except for one of the step "connect".
 using LogAppendOutcome = std::variant<std::uint64_t, Error>;
 
-/// Reads from offset \p From; the log waits up to \p Wait for a record.
-HttpCall makeLogRead(const std::string &Address, std::uint64_t From,
+/// The log waits up to \p Wait for a record.
+HttpCall makeLogRead(const std::string &Address, const LogRead &Read,
                      Duration Wait);
 HttpCall makeLogAppend(const std::string &Address, const std::string &Record);
 
--- /dev/null
+++ b/src/config/StreamFollower.cpp
@@ -0,0 +1,50 @@
+// A reader that knows no version asks for one record to learn where the log
+// ends, then reads the tail, and all that is kept only if the tail has no
+// usable snapshot.
+#include "config/StreamFollower.h"
+
+namespace cyclamencroft {
+
+LogRead StreamFollower::nextRead() const {
+  return {m_Judge.nextOffset(), m_Probing ? 1 : RecordsARead};
+}
+
+bool StreamFollower::skipToTail() {
+  if (m_Tail == 0 || !m_MaySkip || knowsVersion() ||
+      m_Next <= m_Judge.nextOffset() + m_Tail)
+    return false;
+  m_Judge.restartAt(m_Next - m_Tail);
+  m_Skipped = true;
+  return true;
+}
+
+std::vector<Judgement> StreamFollower::take(const LogBatch &Batch) {
+  m_First = Batch.m_First;
+  m_Next = Batch.m_Next;
+  const bool Probed = std::exchange(m_Probing, false);
+  if (Probed && skipToTail())
+    return {};
+  std::vector<Judgement> Decisions;
+  for (const LogRecord &Record : Batch.m_Records)
+    for (Judgement &Value : m_Judge.consume(Record.m_Offset, Record.m_Data))
+      Decisions.push_back(std::move(Value));
+  if (knowsVersion()) {
+    m_MaySkip = true;
+    m_Skipped = false;
+  } else if (m_Skipped && isCaughtUp()) {
+    m_MaySkip = false;
+    m_Skipped = false;
+    m_Judge.restartAt(m_First);
+  }
+  return Decisions;
+}
+
+bool StreamFollower::take(const LogTruncated &Answer, const LogRead &Asked) {
+  if (Answer.m_First <= Asked.m_From)
+    return false;
+  m_Judge.truncatedTo(Answer.m_First);
+  m_Probing = true;
+  return true;
+}
+
+} // namespace cyclamencroft
--- a/tests/unit/StandinLogTest.cpp
+++ b/tests/unit/StandinLogTest.cpp
@@ -29,7 +29,7 @@
 LogReadOutcome readFrom(const StandinLog &Log, std::uint64_t From,
                         Duration Wait = {}) {
   return parseLogRead(Log.address(),
-                      call(makeLogRead(Log.address(), From, Wait)));
+                      call(makeLogRead(Log.address(), {From}, Wait)));
 }
 
 LogAppendOutcome append(const StandinLog &Log, const std::string &Record) {
