--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -47,8 +47,13 @@
     std::size_t m_Connections = 4096;
     /// From the first byte of a request to its last; 408 after that.
     Duration m_SlowSender{std::chrono::seconds(5)};
+    /// From the start of a response until the caller has taken all of it.
+    Duration m_SlowReader{std::chrono::seconds(30)};
     /// A connection without a request is closed after this long.
     Duration m_Idle{std::chrono::minutes(5)};
+    /// Added to responses that the server sends itself, because the request
+    /// was not acceptable.
+    HttpHeaders m_RefusalHeaders;
   };
   using Request = HttpRequest;
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -65,9 +70,13 @@
 
   std::uint16_t port() const;
 
-  /// Accepts no further connections; open ones end after their response.
+  /// Accepts no further connections and closes idle ones; others end after
+  /// their response.
   void stopAccepting();
 
+  /// Open connections.
+  std::size_t connections() const;
+
   /// Closes the listener and every connection.
   void stop();
 
