--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -17,6 +17,11 @@
   return static_cast<std::uint64_t>(Device()) << 32 | Device();
 }
 
+/// The address to listen on with the port that was bound.
+std::string addressOf(const std::string &Listen, std::uint16_t Port) {
+  return Listen.substr(0, Listen.rfind(':') + 1) + std::to_string(Port);
+}
+
 EntryOptions optionsOf(const EntrySettings &Settings, std::uint64_t Seed) {
   EntryOptions Options;
   Options.m_EntryId = Settings.m_Id;
@@ -45,9 +50,8 @@
     for (std::uint32_t I = 0; I < m_Settings.m_HttpThreads; ++I)
       m_Threads.emplace_back([this] { m_Loop.runHttp(); });
     logEvent(LogLevel::Info, "listening",
-             {{"entry", m_Settings.m_Id},
-              {"http", std::to_string(m_Loop.httpPort())},
-              {"link", std::to_string(m_Loop.linkPort())}});
+             {{"http", addressOf(m_Settings.m_HttpListen, m_Loop.httpPort())},
+              {"link", addressOf(m_Settings.m_LinkListen, m_Loop.linkPort())}});
   }
 
   void stop() {
