Name the agent's metrics and log lines as the entry does

The exporter adds the project's prefix, so metric names carried it twice; the process key of a log line is the configured id.

--- a/apps/AgentMain.cpp
+++ b/apps/AgentMain.cpp
@@ -55,7 +55,7 @@
 }
 
 int serve(const AgentSettings &Settings) {
-  EventLog::open(Settings.m_LogFile, "agent");
+  EventLog::open(Settings.m_LogFile, Settings.m_Id);
   boost::asio::io_context Io(1);
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
   const auto Daemon = AgentDaemon::Builder(Settings).build();
--- a/src/agent/AgentDaemon.cpp
+++ b/src/agent/AgentDaemon.cpp
@@ -33,7 +33,7 @@
 /// Time for the last frames to leave before the links are closed.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
 constexpr std::size_t MaxHttpConnections = 64;
-constexpr std::size_t MaxAnnouncementBytes = 16 * 1024;
+constexpr std::size_t MaxAnnouncementBytes = std::size_t{16} * 1024;
 
 Incarnation drawIncarnation() {
   std::random_device Source;
@@ -246,8 +246,7 @@
   }
 
   void carryOut(const SpanEnded &Command) {
-    m_Metrics.observe("cyclamencroft_agent_run_seconds",
-                      Command.m_End - Command.m_Start);
+    m_Metrics.observe("agent_run", Command.m_End - Command.m_Start);
     m_Spans.write(Command);
   }
 
@@ -280,14 +279,13 @@
 
   std::string prometheus() {
     const AgentStatusReport Report = m_Core.status();
-    m_Metrics.set("cyclamencroft_agent_ready", Report.m_Ready ? 1 : 0);
-    m_Metrics.set("cyclamencroft_agent_config_version", Report.m_ConfigVersion);
-    m_Metrics.set("cyclamencroft_agent_running", Report.m_Running);
-    m_Metrics.set("cyclamencroft_agent_starts_total", Report.m_Starts);
-    m_Metrics.set("cyclamencroft_agent_results_total", Report.m_Results);
-    m_Metrics.set("cyclamencroft_agent_refusals_total", Report.m_Refusals);
-    m_Metrics.set("cyclamencroft_agent_control_messages_total",
-                  Report.m_ControlMessages);
+    m_Metrics.set("agent_ready", Report.m_Ready ? 1 : 0);
+    m_Metrics.set("agent_config_version", Report.m_ConfigVersion);
+    m_Metrics.set("agent_running", Report.m_Running);
+    m_Metrics.set("agent_starts_total", Report.m_Starts);
+    m_Metrics.set("agent_results_total", Report.m_Results);
+    m_Metrics.set("agent_refusals_total", Report.m_Refusals);
+    m_Metrics.set("agent_control_messages_total", Report.m_ControlMessages);
     return m_Metrics.toPrometheus();
   }
 
--- a/src/bench/StandinEndpoint.cpp
+++ b/src/bench/StandinEndpoint.cpp
@@ -62,7 +62,7 @@
   Impl(boost::asio::io_context &Io, StandinOptions Options)
       : m_Io(Io), m_Options(std::move(Options)), m_AnnounceTimer(Io),
         m_Listener(Io, m_Options.m_Listen,
-                   [this](ExchangePtr Exchange) { handle(Exchange); }) {}
+                   [this](const ExchangePtr &Exchange) { handle(Exchange); }) {}
 
   std::string address() const { return m_Listener.address(); }
 
--- a/tests/unit/EndpointClientTest.cpp
+++ b/tests/unit/EndpointClientTest.cpp
@@ -51,7 +51,7 @@
   /// Answers at once when set; else the test answers m_Requests.
   std::function<void(StandinExchange &)> m_Answer;
   StandinListener m_Listener{m_Io, "127.0.0.1:0",
-                             [this](std::shared_ptr<StandinExchange> Exchange) {
+                             [this](const std::shared_ptr<StandinExchange> &Exchange) {
                                m_Requests.push_back(Exchange);
                                if (m_Answer)
                                  m_Answer(*Exchange);
