Test the window limit with several tasks outstanding

Cause: the test kept one task outstanding besides the long one, so removing both guards (the row's veto and the notice to the router) at once went unnoticed. Change: two tasks are outstanding when the limit is reached; the double change now fails the test, each single one is covered by the other guard. Ruled out: removing one of the two guards; the router may be told late.

--- a/tests/unit/EntryAtMostOnceTest.cpp
+++ b/tests/unit/EntryAtMostOnceTest.cpp
@@ -252,14 +252,19 @@
 // Guards against dispatches that the agent's window can't remember.
 BOOST_AUTO_TEST_CASE(LongTaskHoldsNumbersWithinTheWindow) {
   EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 2);
+  const LinkId Agent = Entry.connect("a", 3);
   Entry.submit(1);
+  Entry.dispatches(Agent);
   Sequence Newest = 1;
-  for (std::uint64_t Number = 2; Number <= 1100; ++Number) {
+  for (std::uint64_t Number = 2; Number <= 1100; Number += 2) {
     Entry.submit(Number);
-    for (const Dispatch &Each : Entry.dispatches(Agent))
+    Entry.submit(Number + 1);
+    for (const Dispatch &Each : Entry.dispatches(Agent)) {
       Newest = Each.m_Sequence;
-    if (Newest > 1)
+      if (Newest % 2 == 1)
+        Entry.finish(Agent, Newest - 1);
+    }
+    if (Newest % 2 == 1)
       Entry.finish(Agent, Newest);
   }
   BOOST_TEST(Newest == 1024U);
@@ -267,7 +272,7 @@
   const auto Next = Entry.dispatches(Agent);
   BOOST_REQUIRE(!Next.empty());
   BOOST_TEST(Next[0].m_Sequence == 1025U);
-  BOOST_TEST(Next[0].m_Floor == 1025U);
+  BOOST_TEST(Next[0].m_Floor == 1024U);
 }
 
 // Guards against a second run under the caller's key, and against a key that
