Keep a task that meets busy agents until its deadline

Cause: while other entries use all slots, the task at the head of the queue takes every trial that the router makes at agents with old load reports; 16 refusals could end it within milliseconds of its arrival. Change: refusals for want of a slot have a limit of their own (256); 16 stays for other reasons. A router that names an agent which takes no work is told again and asked again, so that one stale row does not block the service. Span ids differ between processes with the same seed. Ruled out: no limit at all for busy agents; a router fault would then loop until the deadline at the rate of the round trips.

--- a/src/entry/EntryAttempts.cpp
+++ b/src/entry/EntryAttempts.cpp
@@ -9,10 +9,13 @@
 namespace cyclamencroft {
 namespace {
 
-/// Refusals of one task before it is given up, so that nothing loops. High
-/// enough that a task of a 200-task job outlives the refusals that several
-/// entries cause when they compete for the last free slots.
-constexpr std::uint8_t MaxRefusals = 16;
+/// Refusals of one task before it is given up, so that nothing loops.
+constexpr std::uint16_t MaxRefusals = 16;
+
+/// Same for refusals for want of a slot. While other entries use all slots, the
+/// task at the head takes every trial that the router makes, so that a low
+/// limit would give it up long before its deadline.
+constexpr std::uint16_t MaxNoSlotRefusals = 256;
 
 /// Attempts of an idempotent request that may have run.
 constexpr std::uint8_t MaxAttempts = 3;
@@ -68,10 +71,13 @@
   if (!Of.isJob() && Of.m_TasksOutstanding > 0)
     return;
   Task &Refused = Of.m_Tasks[Ended.m_Task];
-  if (++Refused.m_Refusals >= MaxRefusals)
+  const bool NoSlot = Reason == RefusalReason::NoSlot;
+  std::uint16_t &Refusals =
+      NoSlot ? Refused.m_NoSlotRefusals : Refused.m_Refusals;
+  if (++Refusals >= (NoSlot ? MaxNoSlotRefusals : MaxRefusals))
     return refusedForGood(Ended.m_Submission, Reason,
                           "agents refused the task " +
-                              std::to_string(Refused.m_Refusals) + " times");
+                              std::to_string(Refusals) + " times");
   if (!Of.isJob())
     Of.m_Avoid = m_Rows[Ended.m_Agent].m_Route;
   m_Services[Of.m_Service].m_Queue.returnTask(Ended.m_Submission, Ended.m_Task);
--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -29,7 +29,11 @@
 
 EntryCore::Impl::Impl(EntryOptions Options)
     : m_Options(std::move(Options)), m_Router(m_Options.m_Seed),
-      m_Quotas(m_Options.m_ConfiguredEntries), m_SpanState(m_Options.m_Seed) {}
+      m_Quotas(m_Options.m_ConfiguredEntries),
+      // The incarnation keeps apart the span ids of processes with the same
+      // seed.
+      m_SpanState(m_Options.m_Seed ^
+                  static_cast<std::uint64_t>(m_Options.m_Incarnation)) {}
 
 void EntryCore::Impl::handle(TimePoint Now, const EntryEvent &Event,
                              std::vector<EntryCommand> &Commands) {
--- a/src/entry/EntryDispatch.cpp
+++ b/src/entry/EntryDispatch.cpp
@@ -57,16 +57,20 @@
   const RouteQuery Query{m_Services[For.m_Service].m_Name, For.m_Need,
                          For.m_Avoid};
   NoRoute Why = NoRoute::AllBusy;
-  const std::optional<AgentIndex> Route =
-      m_Router.choose(Query, m_Preset->m_Routing, m_Now, Why);
-  if (!Route)
-    return std::nullopt;
-  const AgentRowIndex Chosen = m_RowByRoute[*Route];
-  // The row decides: a router that is behind must not get a task sent past the
-  // end of the agent's window or to an agent whose tasks are in doubt.
-  if (!m_Rows[Chosen].takesWork())
-    return std::nullopt;
-  return Chosen;
+  for (;;) {
+    const std::optional<AgentIndex> Route =
+        m_Router.choose(Query, m_Preset->m_Routing, m_Now, Why);
+    if (!Route)
+      return std::nullopt;
+    AgentRow &Row = m_Rows[m_RowByRoute[*Route]];
+    if (Row.takesWork())
+      return m_RowByRoute[*Route];
+    // The row decides: a router that is behind must not get a task sent past
+    // the end of the agent's window or to an agent whose tasks are in doubt.
+    if (!Row.m_Available)
+      return std::nullopt;
+    refreshAvailability(Row);
+  }
 }
 
 AttemptIndex EntryCore::Impl::startAttempt(SubmissionIndex Owner,
--- a/src/entry/Submission.h
+++ b/src/entry/Submission.h
@@ -24,8 +24,10 @@
   TaskAnswer m_Answer;
   /// Attempt in progress; NoIndex when there is none.
   AttemptIndex m_Attempt = NoIndex;
-  /// Attempts that were refused or fenced, thus not started.
-  std::uint8_t m_Refusals = 0;
+  /// Attempts that were not started: refused for want of a slot, or refused for
+  /// another reason or fenced.
+  std::uint16_t m_NoSlotRefusals = 0;
+  std::uint16_t m_Refusals = 0;
 };
 
 /// Neighbours in one list of submissions.
--- a/tests/unit/EntryCoreTest.cpp
+++ b/tests/unit/EntryCoreTest.cpp
@@ -74,6 +74,25 @@
   BOOST_TEST((Answers[0].m_Reason == RefusalReason::DeadlinePassed));
 }
 
+// Guards against giving up the task at the head of the queue long before its
+// deadline because other entries use all slots for a while.
+BOOST_AUTO_TEST_CASE(BusyAgentsDoNotUseUpTheRefusalLimit) {
+  EntryHarness Entry;
+  const LinkId Agent = Entry.connect("a", 1);
+  RequestArrived New = Entry.request(1);
+  New.m_Deadline = 100s;
+  Entry.send(New);
+  Sequence Newest = 0;
+  for (int Round = 0; Round < 30; ++Round) {
+    for (const Dispatch &Each : Entry.dispatches(Agent))
+      Newest = Each.m_Sequence;
+    Entry.refuse(Agent, Newest);
+    Entry.advance(2s);
+  }
+  BOOST_TEST(Newest > 20U);
+  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+}
+
 // Guards against jobs that go on after they failed, and against a cancellation
 // for each task.
 BOOST_AUTO_TEST_CASE(FirstFailureFailsTheJobAndCancelsOncePerAgent) {
