--- a/src/agent/AgentCoreImpl.h
+++ b/src/agent/AgentCoreImpl.h
@@ -90,6 +90,8 @@
   void onMessage(EntrySession &Session, const Reconcile &Message);
   void accept(EntrySession &Session, const Dispatch &Message, Duration Delay);
   void answerRepeated(EntrySession &Session, const Dispatch &Message);
+  /// Sends a retained result. \pre it is retained.
+  void sendAgain(EntrySession &Session, Sequence Number);
   void raiseFloor(EntrySession &Session, Sequence Floor);
   RefusalReason refusalFor(const EntrySession &Session,
                            const WaitingTask &Task) const;
--- a/src/agent/AgentTasks.cpp
+++ b/src/agent/AgentTasks.cpp
@@ -86,9 +86,16 @@
                             {"sequence", std::to_string(Number)}});
   if (State == DispatchState::Fenced)
     send(Session, TaskRefused{Number, RefusalReason::SequenceRepeated, load()});
-  const TaskResult *Result = Session.m_Results.find(Number);
-  if (State == DispatchState::Finished && Result)
-    send(Session, *Result);
+  if (State == DispatchState::Finished && Session.m_Results.find(Number))
+    sendAgain(Session, Number);
+}
+
+// The load of the time of the run is out of date; an entry that believed it
+// would dispatch to slots that are busy by now.
+void AgentCore::Impl::sendAgain(EntrySession &Session, Sequence Number) {
+  TaskResult Result = *Session.m_Results.find(Number);
+  Result.m_Running = load();
+  send(Session, std::move(Result));
 }
 
 // The entry has given up waiting tasks below its floor, so they are dropped.
@@ -227,16 +234,16 @@
 void AgentCore::Impl::onMessage(EntrySession &Session,
                                 const Reconcile &Message) {
   ReconcileReply Reply;
-  std::vector<TaskResult> Again;
+  std::vector<Sequence> Again;
   for (const Sequence Number : Message.m_Sequences) {
     const SequenceState State = reconcile(Session, Number);
     Reply.m_Reports.push_back({Number, State});
     if (State == SequenceState::Finished)
-      Again.push_back(*Session.m_Results.find(Number));
+      Again.push_back(Number);
   }
   send(Session, std::move(Reply));
-  for (TaskResult &Result : Again)
-    send(Session, std::move(Result));
+  for (const Sequence Number : Again)
+    sendAgain(Session, Number);
   Session.m_ReturnUntil = TimePoint::min();
 }
 
--- a/src/entry/EndpointTable.cpp
+++ b/src/entry/EndpointTable.cpp
@@ -15,6 +15,12 @@
 // only one entry has work.
 constexpr std::uint64_t ReserveDivisor = 4;
 
+// After a refusal for lack of room other entries are taken to fill the slots,
+// which this one hears nothing of. For this time a burst on stale reports sends
+// each agent one task first and more when that one is not refused; a whole
+// burst would cost two wasted messages a task.
+constexpr Duration ContentionMemory = std::chrono::seconds(1);
+
 /// FNV-1a; every entry must pick the same agents for the reserve.
 std::uint64_t hashOf(std::string_view Text) {
   std::uint64_t Hash = 0xcbf29ce484222325ULL;
@@ -174,6 +180,11 @@
   ++Service.m_Ejected;
 }
 
+void EndpointTable::noteContention(AgentIndex Agent) {
+  if (SizeClass *Class = m_Rows[Agent].m_Class)
+    Class->m_Service->m_ContendedUntil = m_Now + ContentionMemory;
+}
+
 void EndpointTable::readmitBeyondLimit(ServiceGroup &Service) {
   while (Service.m_Ejected > Service.m_Available / EjectedDivisor) {
     const AgentIndex Agent = firstEjected(Service);
@@ -220,10 +231,17 @@
     return Place::Out;
   if (Health == OutlierDetector::State::Readmitted && Row.m_Load.own() > 0)
     return Place::Full;
+  if (isCautious(Row))
+    return Place::Full;
   const Duration Usual = Row.m_Class->m_Service->m_RunTime.mean();
   return placeWithin(Row, Row.m_Load.used(m_Now, Usual));
 }
 
+bool EndpointTable::isCautious(const EndpointRow &Row) const {
+  return m_Now < Row.m_Class->m_Service->m_ContendedUntil &&
+         Row.m_Load.awaitsAnswer(m_Now);
+}
+
 Place EndpointTable::placeWithin(const EndpointRow &Row,
                                  std::uint32_t Used) const {
   const std::uint32_t Own = Row.m_Load.own();
@@ -266,9 +284,10 @@
   if (!needsTimer(Row))
     return;
   const Duration Usual = Row.m_Class->m_Service->m_RunTime.mean();
-  const TimePoint Due = Row.m_Place == Place::Out
-                            ? Row.m_Health.ejectedUntil()
-                            : Row.m_Load.nextDecrease(m_Now, Usual);
+  TimePoint Due = Row.m_Health.ejectedUntil();
+  if (Row.m_Place != Place::Out)
+    Due = isCautious(Row) ? Row.m_Load.answerDue()
+                          : Row.m_Load.nextDecrease(m_Now, Usual);
   // A row has one live timer. An earlier one than needed only refreshes the
   // row once more, so timers are never moved back.
   if (Due >= Row.m_TimerAt)
--- a/src/entry/EndpointTable.h
+++ b/src/entry/EndpointTable.h
@@ -57,6 +57,8 @@
   std::uint32_t m_Available = 0;
   /// Ejected agents among m_Available.
   std::uint32_t m_Ejected = 0;
+  /// Until then slots are taken to be in demand at other entries too.
+  TimePoint m_ContendedUntil{};
   /// Position of the round-robin policy.
   std::size_t m_Cursor = 0;
 };
@@ -107,6 +109,9 @@
   /// change of a row's load or health.
   void refresh(AgentIndex Agent);
 
+  /// An agent of the service had no room although it was believed to.
+  void noteContention(AgentIndex Agent);
+
   /// Ejects the agent when its failures call for it and the limit allows it.
   void ejectIfFailing(AgentIndex Agent);
 
@@ -126,6 +131,7 @@
 
   SizeClass &classFor(const AgentHello &Hello);
   Place placeOf(const EndpointRow &Row) const;
+  bool isCautious(const EndpointRow &Row) const;
   Place placeWithin(const EndpointRow &Row, std::uint32_t Used) const;
   std::uint32_t shareOf(AgentIndex Agent) const;
   void move(AgentIndex Agent, Place Where);
--- a/src/entry/LoadEstimate.cpp
+++ b/src/entry/LoadEstimate.cpp
@@ -34,6 +34,7 @@
   ++m_WindowDispatches;
   ++m_Since;
   ++m_Own;
+  m_DispatchedAt = Now;
 }
 
 void LoadEstimate::settled() {
@@ -69,6 +70,15 @@
   return m_ReportedAt + ((Now - m_ReportedAt) / Step + 1) * Step;
 }
 
+bool LoadEstimate::awaitsAnswer(TimePoint Now) const {
+  const bool Stale = m_DispatchedAt - m_ReportedAt > StaleStep;
+  return Stale && Now < answerDue();
+}
+
+TimePoint LoadEstimate::answerDue() const {
+  return m_DispatchedAt + 2 * FlightTime;
+}
+
 Duration LoadEstimate::staleStep(Duration UsualRunTime) const {
   // While own tasks are there, their results will bring a report.
   const Duration Base =
--- a/src/entry/LoadEstimate.h
+++ b/src/entry/LoadEstimate.h
@@ -32,6 +32,12 @@
   /// When used() next decreases without a message.
   TimePoint nextDecrease(TimePoint Now, Duration UsualRunTime) const;
 
+  /// True while the last dispatch, made on a stale report, may still be
+  /// refused.
+  bool awaitsAnswer(TimePoint Now) const;
+  /// When that ends.
+  TimePoint answerDue() const;
+
   /// Tasks of this entry at the agent.
   std::uint32_t own() const { return m_Own; }
 
@@ -54,6 +60,7 @@
   std::uint32_t m_PreviousDispatches = 0;
   TimePoint m_WindowStart{};
   TimePoint m_ReportedAt{};
+  TimePoint m_DispatchedAt{};
   /// Doublings of the time between trials. Invariant: at most MaxBackoff.
   std::uint32_t m_Backoff = 0;
   bool m_RefusedAsFull = false;
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -154,6 +154,8 @@
   Row.m_Load.reported(Refusal.m_Running, Now);
   if (tellsFull(Refusal.m_Reason))
     Row.m_Load.refusedAsFull(Row.m_Slots);
+  if (Refusal.m_Reason == RefusalReason::NoSlot)
+    Table.noteContention(Agent);
   Table.refresh(Agent);
 }
 
--- a/src/entry/Router.h
+++ b/src/entry/Router.h
@@ -19,7 +19,7 @@
 struct RouteQuery {
   std::string_view m_Service;
   Size m_Need;
-  /// Agent of an earlier attempt; avoided when another one fits.
+  /// Agent of an earlier attempt; avoided while another one has room.
   std::optional<AgentIndex> m_Avoid;
 };
 
--- a/src/entry/ServiceQueue.cpp
+++ b/src/entry/ServiceQueue.cpp
@@ -161,15 +161,19 @@
   Submission &Removed = (*m_Table)[Index];
   Lane &In = m_Lanes[Removed.m_Queue.m_Lane];
   Removed.m_Queue.m_Lane = NoIndex;
-  if (!Removed.isJob()) {
+  if (Removed.isJob()) {
+    --m_Jobs;
+    JobQueue &Jobs = In.m_Teams[Removed.m_Queue.m_Team].m_Jobs;
+    Jobs.remove(*m_Table, Index);
+    if (Jobs.empty())
+      deactivate(In, Removed.m_Queue.m_Team);
+  } else {
     In.m_Requests.remove(*m_Table, Index);
-    return;
   }
-  --m_Jobs;
-  JobQueue &Jobs = In.m_Teams[Removed.m_Queue.m_Team].m_Jobs;
-  Jobs.remove(*m_Table, Index);
-  if (Jobs.empty())
-    deactivate(In, Removed.m_Queue.m_Team);
+  // Slots that come free while nothing waits unblock no lane, so an empty one
+  // must not stay blocked for the next submission.
+  if (In.empty())
+    In.m_Blocked = false;
 }
 
 } // namespace cyclamencroft
--- a/src/entry/ShareChoice.cpp
+++ b/src/entry/ShareChoice.cpp
@@ -53,10 +53,11 @@
   return score(Context, B) < score(Context, A) ? B : A;
 }
 
-/// The agent of the earlier attempt, when no other one takes work.
+/// The agent of the earlier attempt, when no other one has room: a task that
+/// waited for another agent would hold up all tasks behind it.
 std::optional<AgentIndex> lastResort(const ChoiceContext &Context) {
   const auto Avoided = Context.m_Agents.avoided();
-  if (!Avoided || Context.m_Agents.inRotation() > 0)
+  if (!Avoided)
     return std::nullopt;
   const Place Where = Context.m_Table.row(*Avoided).m_Place;
   const bool HasRoom = Where != Place::Out && Where != Place::Full;
--- a/tests/session/InvariantChecker.cpp
+++ b/tests/session/InvariantChecker.cpp
@@ -88,11 +88,18 @@
     fail("invariant 4: " + What.m_Name + " was answered \"not run\" but ran");
 }
 
+void InvariantChecker::checkCompletes(const Submission &What, Outcome End) {
+  if (What.m_MustComplete && End != Outcome::Completed)
+    fail("progress: " + What.m_Name + " ended as " +
+         std::string(toString(End)) + " although nothing is disturbed");
+}
+
 void InvariantChecker::answered(const AnswerRequest &Answer) {
   const Submission *What = answeredOnce(Answer.m_Caller, Answer.m_Request);
   if (!What)
     return;
   checkNotRun(*What, Answer.m_Outcome);
+  checkCompletes(*What, Answer.m_Outcome);
   if (Answer.m_Outcome == Outcome::Completed &&
       bytesOf(Answer.m_Body) != answerTo(What->m_Bodies.front()))
     fail("invariant 3: " + What->m_Name + " got a wrong body");
@@ -103,6 +110,7 @@
   if (!What)
     return;
   checkNotRun(*What, Answer.m_Outcome);
+  checkCompletes(*What, Answer.m_Outcome);
   if (Answer.m_Outcome != Outcome::Completed) {
     if (!Answer.m_Tasks.empty())
       fail("invariant 2: " + What->m_Name + " failed with a partial answer");
--- a/tests/session/InvariantChecker.h
+++ b/tests/session/InvariantChecker.h
@@ -19,6 +19,8 @@
   bool m_NonIdempotent = false;
   std::vector<std::string> m_Bodies;
   std::string m_Entry;
+  /// Nothing is disturbed any more, so any other outcome is a fault.
+  bool m_MustComplete = false;
 };
 
 /// Body with which an endpoint answers a task.
@@ -56,6 +58,7 @@
   Submission *answeredOnce(CallerId Caller, const RequestId &Request);
   std::uint32_t startsOf(const RequestId &Request) const;
   void checkNotRun(const Submission &What, Outcome End);
+  void checkCompletes(const Submission &What, Outcome End);
 
   std::map<CallerId, Submission> m_Submissions;
   std::map<RequestId, CallerId> m_Callers;
--- a/tests/session/RandomSchedule.cpp
+++ b/tests/session/RandomSchedule.cpp
@@ -13,6 +13,10 @@
 // within this time.
 constexpr Duration QuietTime = 60s;
 
+// When the session has settled, every entry must serve again. The time covers
+// the last shutdown, lease, reconciliation and configuration.
+constexpr Duration ProbeTime = ActiveTime + 40s;
+
 constexpr Duration CheckInterval = 50ms;
 
 } // namespace
@@ -34,6 +38,7 @@
 void RandomSchedule::run() {
   scheduleWork();
   scheduleFaults();
+  scheduleProbes();
   // Processes that shut down end after the first of these moments.
   for (const Duration Later : {0s, 10s, 20s})
     m_Session.at(ActiveTime + Later, [this] {
@@ -60,6 +65,23 @@
     m_Session.at(soon(ActiveTime), [this] { disturb(); });
 }
 
+void RandomSchedule::scheduleProbes() {
+  m_Session.at(ProbeTime - 5s, [this] { m_Session.publish("ordinary", "e1"); });
+  for (std::uint32_t I = 1; I <= m_Session.layout().m_Entries; ++I)
+    m_Session.at(ProbeTime, [this, I] {
+      CallerAction Probe;
+      Probe.m_Entry = "e" + std::to_string(I);
+      Probe.m_MustComplete = true;
+      Probe.m_Deadline = 5s;
+      Probe.m_Task.m_RunTime = 20ms;
+      Probe.m_Name = "probe" + std::to_string(I);
+      m_Session.submit(Probe);
+      Probe.m_Name += "job";
+      Probe.m_JobTasks = 5;
+      m_Session.submit(Probe);
+    });
+}
+
 void RandomSchedule::submit() {
   CallerAction Action;
   Action.m_Name = "s" + std::to_string(++m_Submissions);
--- a/tests/session/RandomSchedule.h
+++ b/tests/session/RandomSchedule.h
@@ -19,6 +19,7 @@
   SessionLayout drawLayout();
   void scheduleWork();
   void scheduleFaults();
+  void scheduleProbes();
   void submit();
   void disturb();
   void disturbLink(std::uint32_t Kind);
--- a/tests/session/Session.cpp
+++ b/tests/session/Session.cpp
@@ -208,6 +208,7 @@
   What.m_IsJob = Action.m_JobTasks > 0;
   What.m_NonIdempotent = Action.m_NonIdempotent;
   What.m_Entry = Action.m_Entry;
+  What.m_MustComplete = Action.m_MustComplete;
   for (std::uint32_t I = 0; I < std::max(Action.m_JobTasks, 1U); ++I) {
     TaskScript Task = Action.m_Task;
     Task.m_Name = Action.m_Name + "." + std::to_string(I);
--- a/tests/session/Session.h
+++ b/tests/session/Session.h
@@ -44,6 +44,7 @@
   Size m_Need;
   /// Name of an earlier submission whose request id is used again.
   std::string m_SameIdAs;
+  bool m_MustComplete = false;
 };
 
 class Session {
--- a/tests/unit/AgentLinksTest.cpp
+++ b/tests/unit/AgentLinksTest.cpp
@@ -60,6 +60,22 @@
   BOOST_TEST(sent<TaskResult>().at(0).m_Sequence == 1U);
 }
 
+// Guards against repeated results that tell the load of the time of their run:
+// the entry would dispatch to slots that are busy by now.
+BOOST_AUTO_TEST_CASE(RepeatedResultTellsPresentLoad) {
+  connect();
+  const RunId First = start(1);
+  end(First);
+  start(2);
+  dispatch(1);
+  BOOST_REQUIRE_EQUAL(sent<TaskResult>().size(), 1U);
+  BOOST_TEST(sent<TaskResult>()[0].m_Running == 1U);
+  relink(LinkId{2});
+  receive(Reconcile{{1}});
+  BOOST_REQUIRE_EQUAL(sent<TaskResult>().size(), 1U);
+  BOOST_TEST(sent<TaskResult>()[0].m_Running == 1U);
+}
+
 // Guards against "fenced" for a task that may have run.
 BOOST_AUTO_TEST_CASE(SequenceBelowFloorIsUnknown) {
   connect();
--- a/tests/unit/ServiceQueueTest.cpp
+++ b/tests/unit/ServiceQueueTest.cpp
@@ -112,6 +112,21 @@
   BOOST_TEST(takeNext() == Large);
 }
 
+// Guards against a lane that stays blocked after its last submission ended by
+// deadline or cancellation: slots that come free while nothing waits unblock no
+// lane, and the next submission would wait without end.
+BOOST_AUTO_TEST_CASE(EmptiedSizeIsNotBlocked) {
+  const SubmissionIndex Request = add(0);
+  m_Queue.block(Request);
+  m_Queue.remove(Request);
+  const SubmissionIndex Job = add(2);
+  BOOST_TEST(m_Queue.front() == Job);
+  m_Queue.block(Job);
+  m_Queue.remove(Job);
+  const SubmissionIndex Last = add(0);
+  BOOST_TEST(takeNext() == Last);
+}
+
 // Guards against counts that drift from the content, which would leak the
 // queue limit, and against links to removed submissions.
 BOOST_AUTO_TEST_CASE(RemovalKeepsCountsAndOrder) {
