--- a/src/entry/ServiceQueue.cpp
+++ b/src/entry/ServiceQueue.cpp
@@ -88,9 +88,13 @@
 std::uint32_t ServiceQueue::laneFor(const Size &Need) {
   std::size_t Unused = m_Lanes.size();
   for (std::size_t Index = 0; Index < m_Lanes.size(); ++Index) {
-    if (sameSize(m_Lanes[Index].m_Need, Need))
+    Lane &Each = m_Lanes[Index];
+    // A lane that ran empty while blocked is not unblocked by later events.
+    if (Each.empty())
+      Each.m_Blocked = false;
+    if (sameSize(Each.m_Need, Need))
       return static_cast<std::uint32_t>(Index);
-    if (m_Lanes[Index].empty())
+    if (Each.empty())
       Unused = Index;
   }
   if (Unused == m_Lanes.size()) {
@@ -99,7 +103,6 @@
     m_Lanes.emplace_back();
   }
   m_Lanes[Unused].m_Need = Need;
-  m_Lanes[Unused].m_Blocked = false;
   return static_cast<std::uint32_t>(Unused);
 }
 
@@ -161,19 +164,15 @@
   Submission &Removed = (*m_Table)[Index];
   Lane &In = m_Lanes[Removed.m_Queue.m_Lane];
   Removed.m_Queue.m_Lane = NoIndex;
-  if (Removed.isJob()) {
-    --m_Jobs;
-    JobQueue &Jobs = In.m_Teams[Removed.m_Queue.m_Team].m_Jobs;
-    Jobs.remove(*m_Table, Index);
-    if (Jobs.empty())
-      deactivate(In, Removed.m_Queue.m_Team);
-  } else {
+  if (!Removed.isJob()) {
     In.m_Requests.remove(*m_Table, Index);
+    return;
   }
-  // Slots that come free while nothing waits unblock no lane, so an empty one
-  // must not stay blocked for the next submission.
-  if (In.empty())
-    In.m_Blocked = false;
+  --m_Jobs;
+  JobQueue &Jobs = In.m_Teams[Removed.m_Queue.m_Team].m_Jobs;
+  Jobs.remove(*m_Table, Index);
+  if (Jobs.empty())
+    deactivate(In, Removed.m_Queue.m_Team);
 }
 
 } // namespace cyclamencroft
