--- a/tests/session/InvariantChecker.cpp
+++ b/tests/session/InvariantChecker.cpp
@@ -10,14 +10,12 @@
   m_Callers.emplace(What.m_Request, Caller);
 }
 
-void InvariantChecker::released(CallerId Caller) {
-  m_Submissions.at(Caller).m_Released = true;
-}
+void InvariantChecker::released(CallerId Caller) { m_Released.insert(Caller); }
 
 void InvariantChecker::releasedAt(const std::string &Entry) {
   for (auto &[Caller, What] : m_Submissions)
     if (What.m_Entry == Entry)
-      What.m_Released = true;
+      m_Released.insert(Caller);
 }
 
 void InvariantChecker::started(const std::string &Agent, const StartRun &Run,
@@ -90,11 +88,18 @@
     fail("invariant 4: " + What.m_Name + " was answered \"not run\" but ran");
 }
 
+void InvariantChecker::checkCompletes(const Submission &What, Outcome End) {
+  if (What.m_MustComplete && End != Outcome::Completed)
+    fail("progress: " + What.m_Name + " ended as " +
+         std::string(toString(End)) + " although nothing is disturbed");
+}
+
 void InvariantChecker::answered(const AnswerRequest &Answer) {
   const Submission *What = answeredOnce(Answer.m_Caller, Answer.m_Request);
   if (!What)
     return;
   checkNotRun(*What, Answer.m_Outcome);
+  checkCompletes(*What, Answer.m_Outcome);
   if (Answer.m_Outcome == Outcome::Completed &&
       bytesOf(Answer.m_Body) != answerTo(What->m_Bodies.front()))
     fail("invariant 3: " + What->m_Name + " got a wrong body");
@@ -105,6 +110,7 @@
   if (!What)
     return;
   checkNotRun(*What, Answer.m_Outcome);
+  checkCompletes(*What, Answer.m_Outcome);
   if (Answer.m_Outcome != Outcome::Completed) {
     if (!Answer.m_Tasks.empty())
       fail("invariant 2: " + What->m_Name + " failed with a partial answer");
@@ -131,14 +137,15 @@
 
 void InvariantChecker::drained(const std::string &Entry) {
   for (const auto &[Caller, What] : m_Submissions)
-    if (What.m_Entry == Entry && !What.m_Released && !m_Answered.count(Caller))
+    if (What.m_Entry == Entry && !m_Released.count(Caller) &&
+        !m_Answered.count(Caller))
       fail("invariant 7: " + Entry + " ended its shutdown without answering " +
            What.m_Name);
 }
 
 void InvariantChecker::finish() {
   for (const auto &[Caller, What] : m_Submissions)
-    if (!What.m_Released && !m_Answered.count(Caller))
+    if (!m_Released.count(Caller) && !m_Answered.count(Caller))
       fail("invariant 3: " + What.m_Name + " was never answered");
 }
 
--- a/tests/session/InvariantChecker.h
+++ b/tests/session/InvariantChecker.h
@@ -19,8 +19,8 @@
   bool m_NonIdempotent = false;
   std::vector<std::string> m_Bodies;
   std::string m_Entry;
-  /// The entry died or the caller left, so no answer is owed.
-  bool m_Released = false;
+  /// Nothing is disturbed any more, so any other outcome is a fault.
+  bool m_MustComplete = false;
 };
 
 /// Body with which an endpoint answers a task.
@@ -58,10 +58,13 @@
   Submission *answeredOnce(CallerId Caller, const RequestId &Request);
   std::uint32_t startsOf(const RequestId &Request) const;
   void checkNotRun(const Submission &What, Outcome End);
+  void checkCompletes(const Submission &What, Outcome End);
 
   std::map<CallerId, Submission> m_Submissions;
   std::map<RequestId, CallerId> m_Callers;
   std::set<CallerId> m_Answered;
+  /// The entry died or the caller left, so no answer is owed.
+  std::set<CallerId> m_Released;
   /// Requests reported as not run.
   std::set<RequestId> m_NotRun;
   std::map<std::pair<RequestId, std::uint32_t>, std::uint32_t> m_Starts;
