--- a/tests/unit/EndpointClientTest.cpp
+++ b/tests/unit/EndpointClientTest.cpp
@@ -50,12 +50,13 @@
   std::vector<std::shared_ptr<StandinExchange>> m_Requests;
   /// Answers at once when set; else the test answers m_Requests.
   std::function<void(StandinExchange &)> m_Answer;
-  StandinListener m_Listener{m_Io, "127.0.0.1:0",
-                             [this](const std::shared_ptr<StandinExchange> &Exchange) {
-                               m_Requests.push_back(Exchange);
-                               if (m_Answer)
-                                 m_Answer(*Exchange);
-                             }};
+  StandinListener m_Listener{
+      m_Io, "127.0.0.1:0",
+      [this](const std::shared_ptr<StandinExchange> &Exchange) {
+        m_Requests.push_back(Exchange);
+        if (m_Answer)
+          m_Answer(*Exchange);
+      }};
   std::vector<RunEnded> m_Ended;
   EndpointClient m_Client{
       m_Io, [this](RunEnded Run) { m_Ended.push_back(std::move(Run)); }};
