Make the tests of endpoint exchanges stricter

Scratch edits showed four gaps: a timed-out connection that is reused was hidden by the check for stray bytes, an ignored abort by the deadline, a pool that never reuses by the count of connections open at once, and answers without a length were not tested at all.

Checked: 11 scratch edits of the client, one at a time; the tests fail for each.

--- a/src/bench/StandinListener.cpp
+++ b/src/bench/StandinListener.cpp
@@ -66,6 +66,7 @@
 
   void onGone(std::function<void()> Callback) override {
     m_Gone = std::move(Callback);
+    watchForClose();
   }
 
   void respond(unsigned Status, std::string Body) override {
@@ -102,14 +103,11 @@
     m_Request.m_TaskIndex = std::string(m_Message["Cyclamencroft-Task-Index"]);
     m_Request.m_Body = std::move(m_Message.body());
     m_Handle(shared_from_this());
-    watchForClose();
   }
 
   // Waits for the peer's close while the response is pending. The agent sends
   // no second request before it, so anything readable is the end.
   void watchForClose() {
-    if (!m_Gone)
-      return;
     m_Socket.async_wait(Tcp::socket::wait_read,
                         [Self = shared_from_this()](const error_code &Fault) {
                           if (!Fault && Self->m_Gone)
@@ -172,6 +170,7 @@
   }
 
   std::uint32_t peak() const { return m_Peak; }
+  std::uint32_t accepted() const { return m_Accepted; }
 
 private:
   void open(Tcp::socket Socket) {
@@ -184,6 +183,7 @@
                                       Self->forget(Closed);
                                   });
     m_Sessions.insert(Opened);
+    ++m_Accepted;
     m_Peak = std::max(m_Peak, static_cast<std::uint32_t>(m_Sessions.size()));
     Opened->read();
   }
@@ -197,6 +197,7 @@
   Tcp::acceptor m_Acceptor;
   std::set<std::shared_ptr<Session>> m_Sessions;
   std::uint32_t m_Peak = 0;
+  std::uint32_t m_Accepted = 0;
 };
 
 StandinListener::StandinListener(asio::io_context &Io,
@@ -213,6 +214,10 @@
   return m_Impl->peak();
 }
 
+std::uint32_t StandinListener::acceptedConnections() const {
+  return m_Impl->accepted();
+}
+
 void StandinListener::stop() { m_Impl->stop(); }
 
 } // namespace cyclamencroft
--- a/src/bench/StandinListener.h
+++ b/src/bench/StandinListener.h
@@ -50,6 +50,8 @@
   std::string address() const;
   /// Most connections that were open at the same time.
   std::uint32_t peakConnections() const;
+  /// Connections accepted so far.
+  std::uint32_t acceptedConnections() const;
 
   /// Closes the listener and every connection.
   void stop();
--- a/tests/unit/EndpointClientTest.cpp
+++ b/tests/unit/EndpointClientTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +20,53 @@
 
 constexpr Duration Patience = std::chrono::seconds(5);
 
+/// Answers each connection's first request with fixed bytes and closes it.
+class RawServer {
+public:
+  RawServer(boost::asio::io_context &Io, std::string Answer)
+      : m_Io(Io), m_Answer(std::move(Answer)),
+        m_Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+  ~RawServer() {
+    m_Acceptor.close();
+    m_Io.poll();
+  }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+  }
+  std::size_t served() const { return m_Served; }
+
+private:
+  void accept() {
+    const auto Socket = std::make_shared<Tcp::socket>(m_Io);
+    m_Acceptor.async_accept(
+        *Socket, [this, Socket](const boost::system::error_code &Fault) {
+          if (!Fault)
+            serve(Socket);
+        });
+  }
+
+  void serve(const std::shared_ptr<Tcp::socket> &Socket) {
+    Socket->async_read_some(
+        boost::asio::buffer(m_Request),
+        [this, Socket](const boost::system::error_code &, std::size_t) {
+          boost::asio::write(*Socket, boost::asio::buffer(m_Answer));
+          ++m_Served;
+          accept();
+        });
+  }
+
+  boost::asio::io_context &m_Io;
+  std::string m_Answer;
+  Tcp::acceptor m_Acceptor;
+  std::array<char, 4096> m_Request{};
+  std::size_t m_Served = 0;
+};
+
 struct EndpointClientFixture {
   EndpointClientFixture() { m_Client.setEndpoint(m_Listener.address(), 4); }
 
@@ -80,7 +129,7 @@
   }
   BOOST_TEST(m_Requests.back()->request().m_RequestId ==
              "00000000000000010000000000000005");
-  BOOST_TEST(m_Listener.peakConnections() == 1U);
+  BOOST_TEST(m_Listener.acceptedConnections() == 1U);
 }
 
 // Guards against answers that reach the wrong run when they come out of order.
@@ -131,9 +180,10 @@
   start(1, std::chrono::milliseconds(50));
   BOOST_TEST((runToEnd().m_Outcome == Outcome::Unknown));
   BOOST_REQUIRE_EQUAL(m_Requests.size(), 1U);
-  m_Requests[0]->respond(200, "late");
   m_Answer = [](StandinExchange &E) { E.respond(200, "in time"); };
   start(2);
+  m_Io.run_for(std::chrono::milliseconds(20));
+  m_Requests[0]->respond(200, "late");
   BOOST_TEST(bytesOf(runToEnd(2).m_Body) == "in time");
 }
 
@@ -161,46 +211,48 @@
 // Guards against a cancelled task that keeps its place until the deadline, and
 // against an endpoint that isn't told.
 BOOST_AUTO_TEST_CASE(AbortClosesTheConnection) {
-  start(1);
+  start(1, 10 * Patience);
   runUntil([&] { return m_Requests.size() == 1; });
+  bool Gone = false;
+  m_Requests[0]->onGone([&] { Gone = true; });
   m_Client.abort(RunId{1});
   BOOST_TEST((runToEnd().m_Outcome == Outcome::Unknown));
+  runUntil([&] { return Gone; });
 }
 
 // Guards against a task that is lost because the endpoint had closed an idle
 // connection.
 BOOST_AUTO_TEST_CASE(ConnectionClosedByEndpointIsNotReused) {
-  Tcp::acceptor Acceptor(m_Io, {boost::asio::ip::address_v4::loopback(), 0});
-  const std::string Address =
-      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
-  m_Client.setEndpoint(Address, 4);
-  std::uint64_t Served = 0;
-  char Request[4096];
-  std::function<void()> ServeNext = [&] {
-    const auto Socket = std::make_shared<Tcp::socket>(m_Io);
-    Acceptor.async_accept(
-        *Socket, [&, Socket](const boost::system::error_code &Fault) {
-          if (Fault)
-            return;
-          Socket->async_read_some(
-              boost::asio::buffer(Request),
-              [&, Socket](const boost::system::error_code &, std::size_t) {
-                const std::string Answer =
-                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                boost::asio::write(*Socket, boost::asio::buffer(Answer));
-                ++Served;
-                ServeNext();
-              });
-        });
-  };
-  ServeNext();
+  RawServer Server(m_Io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  m_Client.setEndpoint(Server.address(), 4);
   for (std::uint64_t Run = 1; Run <= 3; ++Run) {
-    start(Run, Patience, Address);
+    start(Run, Patience, Server.address());
     BOOST_TEST((runToEnd(Run).m_Outcome == Outcome::Completed));
   }
-  BOOST_TEST(Served == 3U);
-  Acceptor.close();
-  m_Io.poll();
+  BOOST_TEST(Server.served() == 3U);
+}
+
+// Guards against answers whose end can't be told: the end of the connection
+// may have cut them.
+BOOST_AUTO_TEST_CASE(AnswersWithoutLengthAreFailures) {
+  const std::vector<std::string> Answers = {
+      "HTTP/1.1 200 OK\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "HELLO\r\n\r\n"};
+  std::uint64_t Run = 0;
+  for (const std::string &Answer : Answers) {
+    RawServer Server(m_Io, Answer);
+    start(++Run, Patience, Server.address());
+    BOOST_TEST((runToEnd(Run).m_Outcome == Outcome::Failed), Answer);
+  }
+}
+
+// Guards against "failed" for a task of which nothing is known: the endpoint
+// died after it had the request.
+BOOST_AUTO_TEST_CASE(ConnectionLostBeforeAnAnswerIsUnknown) {
+  RawServer Server(m_Io, "");
+  start(1, Patience, Server.address());
+  BOOST_TEST((runToEnd().m_Outcome == Outcome::Unknown));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
