--- a/src/bench/StandinEndpoint.cpp
+++ b/src/bench/StandinEndpoint.cpp
@@ -107,6 +107,8 @@
       return run(Exchange);
     if (Request.m_Method == "GET" && Request.m_Target == "/starts")
       return Exchange->respond(Ok, startsJson());
+    if (Request.m_Method == "GET" && Request.m_Target == "/tasks")
+      return Exchange->respond(Ok, Json(m_Counts.byTask()).dump());
     if (Request.m_Method == "POST" && Request.m_Target == "/mode")
       return changeMode(*Exchange);
     Exchange->respond(NotFound, "no such path\n");
--- a/src/bench/StandinEndpoint.h
+++ b/src/bench/StandinEndpoint.h
@@ -51,7 +51,8 @@
 
 /// `POST /run` runs a task; the response repeats request id and task index, so
 /// that a mismatch is seen, and has as many bytes as "answer-bytes=N " after
-/// the run time asks for. `GET /starts` returns the counts. `POST /mode` with
+/// the run time asks for. `GET /starts` returns the counts and `GET /tasks` the
+/// starts of each task. `POST /mode` with
 /// JSON `{"mode", "factor", "late_ms"}` changes the mode.
 ///
 /// \p Io is run by one thread; functions are called on it or while it isn't
--- a/src/bench/StartCounts.cpp
+++ b/src/bench/StartCounts.cpp
@@ -28,6 +28,11 @@
   return m_Totals;
 }
 
+std::map<std::string, std::uint32_t> StartCounts::byTask() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Starts;
+}
+
 std::map<std::string, std::uint32_t> StartCounts::repeated() const {
   const std::lock_guard Lock(m_Mutex);
   std::map<std::string, std::uint32_t> Found;
--- a/src/bench/StartCounts.h
+++ b/src/bench/StartCounts.h
@@ -31,6 +31,8 @@
   void end(bool Aborted);
 
   StartTotals totals() const;
+  /// Every task with its number of starts.
+  std::map<std::string, std::uint32_t> byTask() const;
   /// Tasks started more than once, with their number of starts.
   std::map<std::string, std::uint32_t> repeated() const;
 
--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -67,6 +67,7 @@
       ->capture_default_str();
   CommandSink Sink;
   // One line for each group of subcommands.
+  addBenchCommand(App, Sink);
   addCallerCommands(App, Sink);
   addConfigCommands(App, Sink);
   addSettingsCommands(App, Sink);
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -17,6 +17,7 @@
   std::optional<CommandResult> m_Result;
 };
 
+void addBenchCommand(CLI::App &App, CommandSink &Sink);
 void addCallerCommands(CLI::App &App, CommandSink &Sink);
 void addConfigCommands(CLI::App &App, CommandSink &Sink);
 void addSettingsCommands(CLI::App &App, CommandSink &Sink);
--- a/tests/process/support/Deployment.h
+++ b/tests/process/support/Deployment.h
@@ -5,6 +5,8 @@
 #include "http/HttpClient.h"
 #include "process/support/ChildProcess.h"
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -71,6 +73,22 @@
                              const HttpHeaders &Headers = {});
   static void postMode(const Node &Target, const std::string &Json);
 
+  /// POST to any route; throws when the connection breaks.
+  static HttpResponse post(const std::string &Address,
+                           const std::string &Target,
+                           const HttpHeaders &Headers, const std::string &Body);
+
+  /// Starts of each task ("request id/task index") over all endpoints.
+  std::map<std::string, std::uint64_t> startsByTask();
+
+  /// Ends every process with SIGTERM and waits for it.
+  void terminateAll();
+  /// Every span that entries and agents have written.
+  std::vector<nlohmann::json> readSpans() const;
+
+  /// Path of a file in the deployment's folder.
+  std::string fileFor(const std::string &Name) const;
+
   /// Sums a member of GET /starts over all endpoints.
   std::uint64_t sumStarts(const std::string &Member);
 
@@ -85,7 +103,6 @@
   static const char TestConfiguration[];
 
 private:
-  std::string fileFor(const std::string &Name) const;
   std::string writeFile(const std::string &Name, const std::string &Text);
 
   /// Removed by the destructor.
