--- a/src/bench/BenchCluster.cpp
+++ b/src/bench/BenchCluster.cpp
@@ -185,7 +185,7 @@
     for (const std::string &Address : m_EntryAddresses) {
       const nlohmann::json Page = entryStatus(Address);
       if (!Page.is_object() || !Page.value("ready", false) ||
-          Page.value("agents", 0U) != m_Sizes.m_Workers)
+          Page.value("available_agents", 0U) != m_Sizes.m_Workers)
         return false;
     }
     for (const Worker &Each : m_Workers)
--- a/src/entry/EntryCore.cpp
+++ b/src/entry/EntryCore.cpp
@@ -61,6 +61,9 @@
   if (m_Config)
     Status.m_Preset = m_Config->m_PresetName;
   Status.m_Agents = m_Links.size() - m_PeerList.size();
+  for (const auto &[Link, Owner] : m_Links)
+    if (!Owner.m_IsPeer && m_Rows[Owner.m_Index].takesWork())
+      ++Status.m_AvailableAgents;
   Status.m_Queued = 0;
   for (const Service &Each : m_Services)
     Status.m_Queued += Each.m_Queue.waitingTasks();
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -26,7 +26,9 @@
   bool m_Ready = false;
   ConfigVersion m_ConfigVersion = 0;
   std::string m_Preset;
+  /// Agents with an open link, and those of them that take new work.
   std::uint64_t m_Agents = 0;
+  std::uint64_t m_AvailableAgents = 0;
   std::uint64_t m_Queued = 0;
   std::uint64_t m_Outstanding = 0;
   std::uint64_t m_Requests = 0;
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -50,6 +50,7 @@
   Set("ready", Status.m_Ready ? 1 : 0);
   Set("config_version", Status.m_ConfigVersion);
   Set("agents", Status.m_Agents);
+  Set("available_agents", Status.m_AvailableAgents);
   Set("links", m_Links.size());
   Set("callers", m_Callers.size());
   Set("queued", Status.m_Queued);
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -201,7 +201,7 @@
         [&] {
           const auto Status = getJson(Entry->m_Http, "/v1/status");
           return Status.is_object() && Status.value("ready", false) &&
-                 Status.value("agents", std::size_t{0}) == Agents;
+                 Status.value("available_agents", std::size_t{0}) == Agents;
         },
         "an entry is ready with its agents", StartLimit);
 }
