Let seeded schedules include long absences and new windows

Cause: with ten rules broken on purpose one at a time, the schedules noticed only five; no schedule had a new window or an absence beyond the grace period. Change: one absence in four outlasts the grace period; a restart brings either a new window or a new incarnation. Seven of the ten are noticed now. The other three (messages of a replaced link, renumbering in a new window, a job's task in doubt) can't show as a second start against these agents; each has a case of its own in EntryAtMostOnce that fails. Ruled out: agents that send on links they have lost, which TCP excludes.

--- a/tests/unit/EntryScheduleTest.cpp
+++ b/tests/unit/EntryScheduleTest.cpp
@@ -27,6 +27,8 @@
   std::deque<LinkMessage> m_Inbox;
   std::deque<LinkMessage> m_Outbox;
   std::map<Sequence, SequenceState> m_Window;
+  /// Turns until the agent connects again.
+  std::size_t m_Away = 0;
 };
 
 TaskResult resultOf(Sequence Number) {
@@ -95,18 +97,24 @@
     if (below(2) == 0)
       m_Entry.close(*Agent.m_Link);
     Agent.m_Link.reset();
+    // One absence in four outlasts the grace period.
+    Agent.m_Away = below(4) == 0 ? 200 : below(10);
   }
 
   void restart(FakeAgent &Agent) {
     cut(Agent);
     Agent.m_Window.clear();
+    if (below(2) == 0) {
+      ++Agent.m_Hello.m_WindowId;
+      return;
+    }
     const auto Old = static_cast<std::uint64_t>(Agent.m_Hello.m_Incarnation);
     Agent.m_Hello.m_Incarnation = Incarnation{Old + 1};
   }
 
   void serve(FakeAgent &Agent) {
     if (!Agent.m_Link) {
-      if (below(8) == 0)
+      if (Agent.m_Away == 0 || --Agent.m_Away == 0)
         Agent.m_Link = m_Entry.connect(Agent.m_Hello);
     } else if (below(2) == 0 && !Agent.m_Outbox.empty()) {
       m_Entry.receive(*Agent.m_Link, Agent.m_Outbox.front());
