Keep a link alive while its frame is sent

When a slow reader's queue passed the limit, the connection was removed from the table and then used through a reference into that table. AddressSanitizer found the use after free in Link/SlowReadersAreClosed; the release build passed that test. The sender now holds its own pointer.

--- a/src/link/WebsocketLinks.h
+++ b/src/link/WebsocketLinks.h
@@ -147,9 +147,11 @@
     const auto Found = m_Open.find(Link);
     if (Found == m_Open.end() || Messages.empty())
       return;
+    // A copy, because sending may remove the link from the table.
+    const ConnectionPtr Con = Found->second;
     std::string Frame = encodeFrame(Messages);
     if (Frame.size() <= MaxFrameBytes)
-      return sendFrame(Found->second, std::move(Frame));
+      return sendFrame(Con, std::move(Frame));
     if (Messages.size() == 1) {
       const std::string Name(messageName(Messages[0]));
       return close(Link, Name + " of " + std::to_string(Frame.size()) +
