Name metrics without the prefix that Metrics adds

The entry's metrics came out as cyclamencroft_cyclamencroft_entry_*, seen on a running entry; the test now checks whole lines.

--- a/src/entry/EntryLoop.cpp
+++ b/src/entry/EntryLoop.cpp
@@ -174,8 +174,7 @@
   boost::asio::post(m_HttpIo, [this, Waiting = std::move(Waiting),
                                Answer = std::move(Answer)] {
     Waiting.m_Exchange->respond(toResponse(Answer));
-    m_Metrics.observe("cyclamencroft_response_time_seconds",
-                      RuntimeClock::now() - Waiting.m_Arrived);
+    m_Metrics.observe("response_time", RuntimeClock::now() - Waiting.m_Arrived);
   });
 }
 
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -45,7 +45,7 @@
 
 HttpResponse EntryLoop::metricsPage(const EntryStatus &Status) {
   const auto Set = [this](std::string_view Name, std::uint64_t Value) {
-    m_Metrics.set("cyclamencroft_entry_" + std::string(Name), Value);
+    m_Metrics.set("entry_" + std::string(Name), Value);
   };
   Set("ready", Status.m_Ready ? 1 : 0);
   Set("config_version", Status.m_ConfigVersion);
--- a/tests/unit/EntryDaemonTest.cpp
+++ b/tests/unit/EntryDaemonTest.cpp
@@ -163,7 +163,7 @@
   BOOST_TEST(Answer["tasks"][99]["body"] == "ba");
   BOOST_TEST(Agent.started() == 140);
   const std::string Metrics = call(*Entry, "GET", "/metrics").m_Body;
-  BOOST_TEST(Metrics.find("cyclamencroft_entry_dispatches_total 140") !=
+  BOOST_TEST(Metrics.find("\ncyclamencroft_entry_dispatches_total 140\n") !=
              std::string::npos);
 }
 
