Name interrupted requests; raise the file limit of an entry

stop() logs the ids of the first 50 requests that it leaves without a response, besides their number. The entry raises its soft limit of open files to the hard one: 1,024, the usual soft limit, is below its connections and links, and websocketpp accepts in a tight loop while no descriptor is left.

--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -14,6 +14,8 @@
 #include <iostream>
 #include <thread>
 
+#include <sys/resource.h>
+
 using namespace cyclamencroft;
 
 namespace {
@@ -63,8 +65,20 @@
   std::thread m_Thread;
 };
 
+/// Raises the soft limit of open files to the hard one: the usual soft limit of
+/// 1,024 is below the connections and links that an entry accepts.
+void raiseFileLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  if (setrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    logEvent(LogLevel::Warning, "file-limit-not-raised", {});
+}
+
 int runDaemon(const EntrySettings &Settings) {
   EventLog::open(Settings.m_LogFile, Settings.m_Id);
+  raiseFileLimit();
   try {
     const auto Daemon = EntryDaemon::Builder().settings(Settings).build();
     Daemon->start();
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -61,11 +61,14 @@
     for (std::thread &Thread : m_Threads)
       Thread.join();
     m_Threads.clear();
-    const std::size_t Cut = m_Loop.waitingCallers();
+    std::string Requests;
+    const std::size_t Cut = m_Loop.waitingCallers(Requests);
     m_Loop.closeAll();
     if (Cut != 0)
       logEvent(LogLevel::Warning, "shutdown-interrupted",
-               {{"entry", m_Settings.m_Id}, {"callers", std::to_string(Cut)}});
+               {{"entry", m_Settings.m_Id},
+                {"callers", std::to_string(Cut)},
+                {"requests", Requests}});
     logEvent(LogLevel::Info, "stopped", {{"entry", m_Settings.m_Id}});
   }
 
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -48,7 +48,7 @@
   /// Blocks until a requested shutdown is complete or stop() was called.
   void wait();
 
-  /// Ends at once and logs how many callers it left without a response. Not
+  /// Ends at once and logs the requests that it left without a response. Not
   /// from a thread of the daemon.
   void stop();
 
--- a/src/entry/EntryLoop.cpp
+++ b/src/entry/EntryLoop.cpp
@@ -139,16 +139,10 @@
 }
 
 void EntryLoop::feed(TimePoint Now, Inbound &Arrived) {
-  CallerId Waiting{};
   if (const auto *Request = std::get_if<RequestArrived>(&Arrived.m_Event))
-    Waiting = Request->m_Caller;
+    keepCaller(Request->m_Caller, Request->m_Request, Arrived, Now);
   if (const auto *Job = std::get_if<JobSubmitted>(&Arrived.m_Event))
-    Waiting = Job->m_Caller;
-  if (Waiting != CallerId{}) {
-    Arrived.m_Exchange->onGone(
-        [this, Waiting] { post(CallerGone{Waiting}, nullptr); });
-    m_Callers.emplace(Waiting, Caller{std::move(Arrived.m_Exchange), Now});
-  }
+    keepCaller(Job->m_Caller, Job->m_Request, Arrived, Now);
   if (const auto *Gone = std::get_if<CallerGone>(&Arrived.m_Event))
     m_Callers.erase(Gone->m_Caller);
   if (std::holds_alternative<ShutdownRequested>(Arrived.m_Event))
@@ -156,6 +150,25 @@
   m_Core.handle(Now, Arrived.m_Event, m_Commands);
 }
 
+void EntryLoop::keepCaller(CallerId Waiting, const RequestId &Request,
+                           Inbound &Arrived, TimePoint Now) {
+  Arrived.m_Exchange->onGone(
+      [this, Waiting] { post(CallerGone{Waiting}, nullptr); });
+  m_Callers.emplace(Waiting,
+                    Caller{Request, std::move(Arrived.m_Exchange), Now});
+}
+
+std::size_t EntryLoop::waitingCallers(std::string &Ids) const {
+  constexpr std::size_t MaxListed = 50;
+  std::size_t Listed = 0;
+  for (const auto &[Id, Waiting] : m_Callers) {
+    if (++Listed > MaxListed)
+      break;
+    Ids += (Ids.empty() ? "" : ",") + Waiting.m_Request.toHex();
+  }
+  return m_Callers.size();
+}
+
 void EntryLoop::execute() {
   for (EntryCommand &Command : m_Commands)
     std::visit([this](auto &Each) { run(Each); }, Command);
--- a/src/entry/EntryLoop.h
+++ b/src/entry/EntryLoop.h
@@ -50,8 +50,9 @@
   /// callers and agents notice at once.
   void closeAll();
 
-  /// Callers without a response; only while no thread runs.
-  std::size_t waitingCallers() const { return m_Callers.size(); }
+  /// Requests without a response, of which \p Ids takes the first few; only
+  /// while no thread runs.
+  std::size_t waitingCallers(std::string &Ids) const;
 
 private:
   using WorkGuard =
@@ -63,6 +64,7 @@
     ExchangePtr m_Exchange;
   };
   struct Caller {
+    RequestId m_Request;
     ExchangePtr m_Exchange;
     TimePoint m_Arrived;
   };
@@ -77,6 +79,8 @@
   // The core's thread.
   void drain();
   void feed(TimePoint Now, Inbound &Arrived);
+  void keepCaller(CallerId Waiting, const RequestId &Request, Inbound &Arrived,
+                  TimePoint Now);
   void execute();
   void run(AnswerRequest &Answer) { answer(std::move(Answer)); }
   void run(AnswerJob &Answer) { answer(std::move(Answer)); }
