--- a/tests/unit/ConfigJudgeTest.cpp
+++ b/tests/unit/ConfigJudgeTest.cpp
@@ -142,6 +142,16 @@
   BOOST_TEST(Judge.adopted()->m_PresetName == "peak");
 }
 
+// Guards against a configuration that reverts while the log is read again from
+// its start after a peer told a later state.
+BOOST_AUTO_TEST_CASE(ReadingAgainNeverLowersTheAdoptedState) {
+  ConfigJudge Judge = judgeAtVersionTwo();
+  Judge.restartAt(0);
+  Judge.consume(0, documentRecord("a", 0, sampleDocument()));
+  BOOST_TEST(Judge.currentVersion() == 1);
+  BOOST_TEST(Judge.adopted()->m_Version == 2);
+}
+
 // Guards against a peer's state that hides changes below the first record
 // kept, and against one that is not used although it is complete.
 BOOST_AUTO_TEST_CASE(PeerStateIsABasisOnlyWhenNoRecordIsMissingAfterIt) {
