--- a/src/cli/ConfigCommands.cpp
+++ b/src/cli/ConfigCommands.cpp
@@ -3,10 +3,12 @@
 #include "cli/ConfigPublisher.h"
 #include "cli/EntryCalls.h"
 #include "config/ConfigDocument.h"
+#include "settings/TextFormat.h"
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <memory>
 
 namespace cyclamencroft {
@@ -94,9 +96,29 @@
   return runPublish(Arguments, Change);
 }
 
+/// Value of an environment variable that holds an address; empty for none.
+std::string addressFromEnvironment(const char *Name) {
+  const char *Text = std::getenv(Name);
+  return Text && AddressFormat.m_Accepts(Text) ? Text : "";
+}
+
+/// Fills in the source when no option names one; false when there is none.
+bool chooseSource(ConfigArguments &Arguments) {
+  if (!Arguments.m_Log.empty() || !Arguments.m_Entry.empty())
+    return true;
+  Arguments.m_Log = addressFromEnvironment("CYCLAMENCROFT_LOG");
+  if (Arguments.m_Log.empty())
+    Arguments.m_Entry = addressFromEnvironment("CYCLAMENCROFT_ENTRY");
+  return !Arguments.m_Log.empty() || !Arguments.m_Entry.empty();
+}
+
 /// The configuration in effect, from the log or from an entry.
-std::optional<ConfigTransfer> readInEffect(const ConfigArguments &Arguments,
+std::optional<ConfigTransfer> readInEffect(ConfigArguments Arguments,
                                            CommandResult &Failure) {
+  if (!chooseSource(Arguments)) {
+    Failure = makeFailure(ExitCode::Invalid, "--log or --entry is required");
+    return std::nullopt;
+  }
   if (!Arguments.m_Entry.empty())
     return fetchConfig(Arguments.m_Entry, Failure);
   StreamReader Reader(Arguments.m_Log);
@@ -168,14 +190,17 @@
       ->capture_default_str();
 }
 
+/// An address that is given as an option takes precedence over both variables,
+/// so that one command can ask an entry while the log's variable is set.
 void addSourceOptions(CLI::App &Command, const ArgumentsPtr &Arguments) {
   CLI::Option_group *Source = Command.add_option_group(
-      "source", "where to read the configuration in effect");
+      "source", "where to read the configuration in effect; by default at "
+                "CYCLAMENCROFT_LOG, else CYCLAMENCROFT_ENTRY");
   addLogOption(*Source, Arguments->m_Log);
   addEntryOption(*Source, Arguments->m_Entry);
   for (CLI::Option *Address : Source->get_options())
-    Address->required(false);
-  Source->require_option(1);
+    Address->required(false)->envname("");
+  Source->require_option(0, 1);
 }
 
 CLI::App *addCommand(CLI::App &Parent, const char *Name, const char *Help,
--- a/src/config/ConfigWatcher.cpp
+++ b/src/config/ConfigWatcher.cpp
@@ -40,7 +40,7 @@
 void logJudgement(const Judgement &Value) {
   const auto Level =
       Value.m_Decision == Decision::Ignored ? LogLevel::Debug : LogLevel::Info;
-  logEvent(Level, "config_record",
+  logEvent(Level, "config-record",
            {{"offset", show(Value.m_Offset)},
             {"decision", nameOf(Value.m_Decision)},
             {"change", Value.m_Header.m_ChangeId},
@@ -141,7 +141,7 @@
   void caughtUp() {
     tellAdopted();
     if (!judge().isCurrent() && !m_ReportedUnknown)
-      logEvent(LogLevel::Warning, "config_version_unknown",
+      logEvent(LogLevel::Warning, "config-version-unknown",
                {{"first", show(m_Follower.first())},
                 {"reason", "the log is truncated and has no snapshot that "
                            "covers the gap"}});
@@ -155,7 +155,7 @@
       return readFailed(
           {"read log", m_LogAddress, "status 410 although the record is kept"});
     logEvent(
-        LogLevel::Warning, "config_log_truncated",
+        LogLevel::Warning, "config-log-truncated",
         {{"wanted", show(m_Asked.m_From)}, {"first", show(Answer.m_First)}});
     read();
   }
@@ -167,14 +167,14 @@
     const bool Rewound = Batch.m_Next < judge().nextOffset();
     m_Rewinds = Rewound ? m_Rewinds + 1 : 0;
     if (m_Rewinds == 2)
-      logEvent(LogLevel::Error, "config_log_rewound",
+      logEvent(LogLevel::Error, "config-log-rewound",
                {{"expected", show(judge().nextOffset())},
                 {"next", show(Batch.m_Next)}});
   }
 
   void readSucceeded() {
     if (m_Failures > 0)
-      logEvent(LogLevel::Info, "config_log_reachable",
+      logEvent(LogLevel::Info, "config-log-reachable",
                {{"peer", m_LogAddress}, {"failures", show(m_Failures)}});
     m_Failures = 0;
   }
@@ -182,7 +182,7 @@
   void readFailed(const Error &Fault) {
     ++m_Failures;
     if (m_Failures == 1)
-      logEvent(LogLevel::Warning, "config_log_unreachable",
+      logEvent(LogLevel::Warning, "config-log-unreachable",
                {{"peer", m_LogAddress},
                 {"step", Fault.m_Step},
                 {"reason", Fault.m_Message}});
@@ -209,7 +209,7 @@
   void takeOffer(const ConfigTransfer &Transfer) {
     std::string Reason;
     if (!m_Follower.offer(Transfer, Reason)) {
-      logEvent(LogLevel::Debug, "config_offer_refused",
+      logEvent(LogLevel::Debug, "config-offer-refused",
                {{"version", show(Transfer.m_Version)}, {"reason", Reason}});
       return;
     }
@@ -221,10 +221,6 @@
     if (!State || State->m_Version <= m_Told)
       return;
     m_Told = State->m_Version;
-    logEvent(LogLevel::Info, "config_adopted",
-             {{"version", show(State->m_Version)},
-              {"offset", show(State->m_Offset)},
-              {"preset", State->m_PresetName}});
     m_OnAdopted(State);
   }
 
@@ -258,10 +254,10 @@
   void appendDone(const LogAppendOutcome &Outcome) {
     m_AbandonAppend = nullptr;
     if (const auto *Offset = std::get_if<std::uint64_t>(&Outcome))
-      logEvent(LogLevel::Info, "config_snapshot_appended",
+      logEvent(LogLevel::Info, "config-snapshot-appended",
                {{"offset", show(*Offset)}});
     else
-      logEvent(LogLevel::Warning, "config_snapshot_failed",
+      logEvent(LogLevel::Warning, "config-snapshot-failed",
                {{"reason", std::get<Error>(Outcome).describe()}});
   }
 
--- a/tests/unit/CliTest.cpp
+++ b/tests/unit/CliTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -92,6 +93,23 @@
                        "\"exit\":2}\n");
 }
 
+// Guards against a source that a variable of the environment silently replaces
+// or that is left open.
+BOOST_AUTO_TEST_CASE(OptionNamesTheSourceBeforeTheEnvironment) {
+  std::string Output;
+  BOOST_TEST(runCommand({"preset", "show"}, Output) == 2);
+  BOOST_TEST(Output == "--log or --entry is required\n");
+  ::setenv("CYCLAMENCROFT_LOG", "127.0.0.1:2", 1);
+  ::setenv("CYCLAMENCROFT_ENTRY", "127.0.0.1:3", 1);
+  BOOST_TEST(runCommand({"preset", "show", "--entry", "127.0.0.1:1"}, Output) ==
+             5);
+  BOOST_TEST(Output.find("127.0.0.1:1") != std::string::npos);
+  BOOST_TEST(runCommand({"preset", "show"}, Output) == 5);
+  BOOST_TEST(Output.find("127.0.0.1:2") != std::string::npos);
+  ::unsetenv("CYCLAMENCROFT_LOG");
+  ::unsetenv("CYCLAMENCROFT_ENTRY");
+}
+
 // Guards against an unreachable process that is reported as unknown outcome.
 BOOST_AUTO_TEST_CASE(UnreachableProcessExitsWithFive) {
   BOOST_TEST(runCommand({"request", "s", "b", "--entry", "127.0.0.1:1"}) == 5);
