Let the stand-in log lose appends

Cause: no test covered a publish whose append was lost without effect, so the early report of a lost race was untested.

Change: POST /mode takes lose_appends; the test sees an unknown outcome while no other change made the next version, and a lost race that names the winner as soon as one did. Nothing is appended in either case.

--- a/src/bench/StandinLog.cpp
+++ b/src/bench/StandinLog.cpp
@@ -178,6 +178,10 @@
   }
 
   void queueAppend(const SessionPtr &Caller, const std::string &Name) {
+    if (m_Mode.m_LoseAppends > 0) {
+      --m_Mode.m_LoseAppends;
+      return Caller->reset();
+    }
     const Duration Spacing =
         Duration(std::chrono::seconds(1)) / m_Options.m_AppendsPerSecond;
     m_NextTurn = std::max(m_NextTurn, RuntimeClock::now()) + Spacing;
@@ -252,6 +256,7 @@
     }
     Json Body{{"slow_ms", m_Mode.m_Slow.count() / 1000},
               {"lose_replies", m_Mode.m_LoseReplies},
+              {"lose_appends", m_Mode.m_LoseAppends},
               {"appends", m_Counts.m_Appends},
               {"reads", m_Counts.m_Reads}};
     for (const auto &[Down, Name] : DownNames)
@@ -269,6 +274,8 @@
           std::chrono::milliseconds(Change["slow_ms"].get<std::uint32_t>());
     if (Change.contains("lose_replies"))
       Mode.m_LoseReplies = Change["lose_replies"].get<std::uint32_t>();
+    if (Change.contains("lose_appends"))
+      Mode.m_LoseAppends = Change["lose_appends"].get<std::uint32_t>();
     if (Change.contains("truncate"))
       truncate(Change["truncate"].get<std::size_t>());
     setMode(Mode);
--- a/src/bench/StandinLog.h
+++ b/src/bench/StandinLog.h
@@ -35,6 +35,8 @@
   Duration m_Slow{};
   /// Appends that take effect next and whose reply is lost.
   std::uint32_t m_LoseReplies = 0;
+  /// Appends that are lost next, without effect or reply.
+  std::uint32_t m_LoseAppends = 0;
 };
 
 struct StandinLogCounts {
@@ -44,8 +46,9 @@
 
 /// Runs on a thread of its own; every function is safe from any thread.
 /// Also over HTTP: POST /mode with JSON members "down" ("no", "reset",
-/// "unavailable", "hang"), "slow_ms", "lose_replies" and "truncate" (records
-/// to keep in every stream), each optional; GET /mode tells mode and counts.
+/// "unavailable", "hang"), "slow_ms", "lose_replies", "lose_appends" and
+/// "truncate" (records to keep in every stream), each optional; GET /mode tells
+/// mode and counts.
 class StandinLog {
 public:
   /// Throws std::runtime_error that names the address when it can't listen.
--- a/tests/unit/ConfigPublisherTest.cpp
+++ b/tests/unit/ConfigPublisherTest.cpp
@@ -103,6 +103,30 @@
   BOOST_TEST(publish(documentRequest(Log)).m_Version == 3);
 }
 
+// Guards against an operator who waits for, or retries, a change that can't be
+// accepted any more, and against one who takes an open outcome for a failure.
+BOOST_AUTO_TEST_CASE(LostAppendIsSettledOnlyByAnotherChange) {
+  StandinLog Log;
+  StandinLogMode LoseOne;
+  LoseOne.m_LoseAppends = 1;
+  Log.setMode(LoseOne);
+  PublishRequest Request = documentRequest(Log);
+  Request.m_ReadBack = milliseconds(300);
+  BOOST_CHECK(publish(Request).m_End == PublishEnd::Unknown);
+  BOOST_TEST(appendsOf(Log) == 0);
+
+  Log.setMode(LoseOne);
+  Request.m_ReadBack = std::chrono::seconds(30);
+  auto Publishing =
+      std::async(std::launch::async, [Request] { return publish(Request); });
+  std::this_thread::sleep_for(milliseconds(200));
+  Log.append("config", documentRecord("winner", 0, sampleDocument()));
+  const PublishOutcome Outcome = Publishing.get();
+  BOOST_CHECK(Outcome.m_End == PublishEnd::LostRace);
+  BOOST_TEST(Outcome.m_Detail.find("winner") != std::string::npos);
+  BOOST_TEST(appendsOf(Log) == 0);
+}
+
 // Guards against a report of success or failure while neither is known: the
 // log stops after the append was sent.
 BOOST_AUTO_TEST_CASE(OutageAfterTheAppendGivesAnUnknownOutcome) {
