--- a/src/cli/ConfigCommands.cpp
+++ b/src/cli/ConfigCommands.cpp
@@ -122,7 +122,7 @@
   if (!Arguments.m_Entry.empty())
     return fetchConfig(Arguments.m_Entry, Failure);
   StreamReader Reader(Arguments.m_Log);
-  if (const auto Fault = Reader.catchUp()) {
+  if (const auto Fault = Reader.catchUpToVersion(StreamPatience)) {
     Failure = makeFailure(ExitCode::NotReachable, Fault->describe());
     return std::nullopt;
   }
--- a/src/cli/ConfigPublisher.cpp
+++ b/src/cli/ConfigPublisher.cpp
@@ -149,6 +149,14 @@
   return std::nullopt;
 }
 
+std::optional<Error> StreamReader::catchUpToVersion(Duration Longest) {
+  const TimePoint Deadline = RuntimeClock::now() + Longest;
+  auto Fault = catchUp();
+  while (!Fault && !judge().isCurrent() && RuntimeClock::now() < Deadline)
+    Fault = catchUp(ReadBackWait);
+  return Fault;
+}
+
 const Judgement *StreamReader::decisionOn(const std::string &ChangeId) const {
   for (const Judgement &Value : m_Decisions)
     if (Value.m_Header.m_ChangeId == ChangeId &&
@@ -166,7 +174,7 @@
 
 PublishOutcome publish(const PublishRequest &Request) {
   StreamReader Reader(Request.m_LogAddress);
-  if (const auto Fault = Reader.catchUp())
+  if (const auto Fault = Reader.catchUpToVersion(Request.m_Patience))
     return {PublishEnd::NotReachable, 0, "", Fault->describe()};
   ConfigRecord Change = Request.m_Change;
   ChangeHeader &Header = headerOf(Change);
@@ -186,7 +194,7 @@
               Fault->describe()};
     Note = Fault->describe();
   }
-  return readBack(Reader, Header, Note, Sent + Request.m_ReadBack);
+  return readBack(Reader, Header, Note, Sent + Request.m_Patience);
 }
 
 } // namespace cyclamencroft
--- a/src/cli/ConfigPublisher.h
+++ b/src/cli/ConfigPublisher.h
@@ -22,6 +22,10 @@
   /// nothing to read. Nothing on success.
   std::optional<Error> catchUp(Duration Wait = {});
 
+  /// As catchUp(), and waits up to \p Longest for a snapshot while the log
+  /// doesn't tell the version in effect.
+  std::optional<Error> catchUpToVersion(Duration Longest);
+
   const ConfigJudge &judge() const { return m_Follower.judge(); }
 
   /// The final decision on a change; null while there is none.
@@ -35,6 +39,10 @@
   std::vector<Judgement> m_Decisions;
 };
 
+/// Longest wait for a snapshot and for the decision on a change. Entries append
+/// a snapshot that is missing within a second.
+constexpr std::chrono::seconds StreamPatience{10};
+
 enum class PublishEnd {
   Accepted,     ///< In effect from m_Version on.
   Rejected,     ///< Not valid on the version in effect.
@@ -59,8 +67,9 @@
   std::string m_Author;
   /// DocumentChange or PresetSwitch; its header is filled in.
   ConfigRecord m_Change;
-  /// How long to look for the change after the append.
-  Duration m_ReadBack{std::chrono::seconds(10)};
+  /// How long to wait for the version in effect before the append, and for the
+  /// change after it.
+  Duration m_Patience{StreamPatience};
 };
 
 /// Appends once at most. A lost reply is resolved by re-reading the log for
--- a/src/config/SnapshotPolicy.cpp
+++ b/src/config/SnapshotPolicy.cpp
@@ -50,17 +50,21 @@
     m_DueAt.reset();
     return std::nullopt;
   }
-  if (!m_DueAt) {
-    std::uniform_int_distribution<Duration::rep> Wait(
-        0, m_Limits.m_Jitter.count());
-    m_DueAt = std::max(Now, m_NotBefore) + Duration(Wait(m_Random));
+  const SnapshotSeen Newest = Judge.newestSnapshot().value_or(SnapshotSeen{});
+  const bool Urgent = Newest.m_Offset < First;
+  if (!m_DueAt || (Urgent && !m_DueUrgently)) {
+    const Duration Pause = pauseFor(Urgent);
+    const TimePoint Earliest = m_TriedAt ? *m_TriedAt + Pause : Now;
+    std::uniform_int_distribution<Duration::rep> Wait(0, Pause.count());
+    m_DueAt = std::max(Now, Earliest) + Duration(Wait(m_Random));
+    m_DueUrgently = Urgent;
   }
   return m_DueAt;
 }
 
 void SnapshotPolicy::tried(TimePoint Now) {
   m_DueAt.reset();
-  m_NotBefore = Now + m_Limits.m_Jitter;
+  m_TriedAt = Now;
 }
 
 } // namespace cyclamencroft
--- a/src/config/SnapshotPolicy.h
+++ b/src/config/SnapshotPolicy.h
@@ -19,6 +19,9 @@
   /// Entries wait a random time up to this before they append, so that the
   /// first one's snapshot is read by the others and they don't append theirs.
   Duration m_Jitter{std::chrono::seconds(10)};
+  /// The same once the log holds no usable snapshot: until there is one, nobody
+  /// who starts can tell the version, and operators can't publish.
+  Duration m_UrgentJitter{std::chrono::milliseconds(500)};
 };
 
 class SnapshotPolicy {
@@ -35,6 +38,10 @@
   void tried(TimePoint Now);
 
 private:
+  /// Longest random wait, and pause after an append that was tried.
+  Duration pauseFor(bool Urgent) const {
+    return Urgent ? m_Limits.m_UrgentJitter : m_Limits.m_Jitter;
+  }
   bool isNeeded(TimePoint Now, const ConfigJudge &Judge, std::uint64_t First,
                 std::uint64_t Next);
 
@@ -42,9 +49,11 @@
   std::mt19937_64 m_Random;
   /// Set while a snapshot is needed.
   std::optional<TimePoint> m_DueAt;
+  /// True when m_DueAt was drawn for a log without a usable snapshot.
+  bool m_DueUrgently = false;
   /// When a version that no snapshot holds was first seen.
   std::optional<TimePoint> m_ChangedSince;
-  TimePoint m_NotBefore{};
+  std::optional<TimePoint> m_TriedAt;
 };
 
 } // namespace cyclamencroft
--- a/tests/unit/SnapshotPolicyTest.cpp
+++ b/tests/unit/SnapshotPolicyTest.cpp
@@ -105,4 +105,19 @@
   BOOST_CHECK(*Highest - *Lowest > Limits.m_Jitter / 2);
 }
 
+// Guards against a log that tells nobody the version for as long as the usual
+// wait, also when that wait has begun or an append was tried just now.
+BOOST_AUTO_TEST_CASE(LogWithoutUsableSnapshotGetsOneSoon) {
+  ConfigJudge Judge = judgeWith(7);
+  SnapshotPolicy Policy(Limits, 1);
+  Policy.due(Start, Judge, 0, 8);
+  const Duration Soon = Limits.m_UrgentJitter;
+  BOOST_CHECK(*Policy.due(Start, Judge, 3, 8) <= Start + Soon);
+  Policy.tried(Start);
+  const TimePoint Again = *Policy.due(Start, Judge, 3, 8);
+  BOOST_CHECK(Again >= Start + Soon && Again <= Start + 2 * Soon);
+  readSnapshot(Judge); // Holds up to offset 8.
+  BOOST_TEST(!Policy.due(Start, Judge, 3, 9));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
