Hold back stragglers early, hedge only at them, retry failed requests elsewhere

A hedge waits until the first attempt's agent looks slow. A failed idempotent request is run once more at an agent that has room, within the retry budget.

--- a/src/bench/BenchCluster.cpp
+++ b/src/bench/BenchCluster.cpp
@@ -35,6 +35,12 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
+/// The baselines bind a task to an agent at once and let it wait there.
+std::uint32_t agentQueueOf(const std::string &Policy) {
+  constexpr std::uint32_t Unbounded = 1000;
+  return Policy == "share" ? 0 : Unbounded;
+}
+
 std::string configurationText(const Deployment &Sizes,
                               const std::string &Policy) {
   return "preset = \"ordinary\"\n[services." + Sizes.m_Service +
--- a/src/entry/EndpointTable.h
+++ b/src/entry/EndpointTable.h
@@ -5,6 +5,7 @@
 #include "core/Messages.h"
 #include "entry/LoadEstimate.h"
 #include "entry/OutlierDetector.h"
+#include "entry/ProgressEstimate.h"
 #include "entry/Router.h"
 #include "entry/RunTimeMean.h"
 
@@ -76,6 +77,7 @@
   LoadEstimate m_Load;
   OutlierDetector m_Health;
   RunTimeMean m_RunTime{16};
+  ProgressEstimate m_Progress;
   Place m_Place = Place::Out;
   /// Index in the set of m_Place and in the class's members.
   std::size_t m_PlaceIndex = 0;
--- a/src/entry/EntryAttempts.cpp
+++ b/src/entry/EntryAttempts.cpp
@@ -123,7 +123,7 @@
 
 void EntryCore::Impl::abandonRoute(Attempt &Open) {
   if (std::exchange(Open.m_Counted, false))
-    m_Router.abandoned(*m_Rows[Open.m_Agent].m_Route);
+    m_Router.abandoned(*m_Rows[Open.m_Agent].m_Route, m_Now);
 }
 
 void EntryCore::Impl::taskEnded(const Attempt &Ended,
@@ -131,6 +131,8 @@
   Submission &Of = m_Submissions[Ended.m_Submission];
   if (Of.isJob())
     return jobTaskCompleted(Ended.m_Submission, Ended.m_Task, Result);
+  if (Result.m_Outcome == Outcome::Failed && retryFailed(Ended))
+    return;
   AnswerRequest Answer;
   Answer.m_Outcome = Result.m_Outcome;
   Answer.m_HttpStatus = Result.m_HttpStatus;
@@ -140,6 +142,52 @@
   answerRequest(Ended.m_Submission, std::move(Answer));
 }
 
+bool EntryCore::Impl::mayRepeat(const Submission &Of) {
+  return !Of.m_NonIdempotent && m_Now < Of.m_Deadline &&
+         Of.m_Attempts + 1 < MaxAttempts;
+}
+
+bool EntryCore::Impl::retryFailed(const Attempt &Ended) {
+  Submission &Of = m_Submissions[Ended.m_Submission];
+  // From now on "not run" would be wrong.
+  Of.m_MayHaveRun = true;
+  // The other attempt of a hedged request may still answer.
+  if (Of.m_TasksOutstanding > 0)
+    return true;
+  if (!mayRepeat(Of))
+    return false;
+  Of.m_Avoid = m_Rows[Ended.m_Agent].m_Route;
+  // The same agent would fail it again, and a wait for another one would hold
+  // up the tasks behind it, so it goes to an agent that has room now or
+  // nowhere.
+  const std::optional<AgentRowIndex> To = chooseAgent(Of);
+  if (!To || *To == Ended.m_Agent ||
+      !m_Services[Of.m_Service].m_Budget.tryRetry(m_Now))
+    return false;
+  ++Of.m_Attempts;
+  ++m_Counters.m_Retries;
+  Of.m_Tasks[Ended.m_Task].m_Attempt =
+      startAttempt(Ended.m_Submission, Ended.m_Task, *To);
+  armHedge(Ended.m_Submission);
+  return true;
+}
+
+bool EntryCore::Impl::retryUnknown(const Attempt &Ended) {
+  Submission &Of = m_Submissions[Ended.m_Submission];
+  // The other attempt of a hedged request may still answer.
+  if (Of.m_TasksOutstanding > 0)
+    return true;
+  if (!mayRepeat(Of) || !m_Services[Of.m_Service].m_Budget.tryRetry(m_Now))
+    return false;
+  ++Of.m_Attempts;
+  ++m_Counters.m_Retries;
+  Of.m_Avoid = m_Rows[Ended.m_Agent].m_Route;
+  m_Timers.cancel(Of.m_HedgeTimer);
+  m_Services[Of.m_Service].m_Queue.returnTask(Ended.m_Submission, Ended.m_Task);
+  markDirty(Of.m_Service);
+  return true;
+}
+
 void EntryCore::Impl::unknownOutcome(const Attempt &Ended,
                                      std::string_view Why) {
   Submission &Of = m_Submissions[Ended.m_Submission];
@@ -152,19 +200,9 @@
     return answerNotCompleted(Ended.m_Submission, Outcome::Failed,
                               RefusalReason::None, std::move(Detail));
   }
-  // The other attempt of a hedged request may still answer.
-  if (Of.m_TasksOutstanding > 0)
-    return;
-  const bool Repeatable = !Of.m_NonIdempotent && m_Now < Of.m_Deadline &&
-                          ++Of.m_Attempts < MaxAttempts;
-  if (!Repeatable || !m_Services[Of.m_Service].m_Budget.tryRetry(m_Now))
-    return answerNotCompleted(Ended.m_Submission, Outcome::Unknown,
-                              RefusalReason::None, std::move(Detail));
-  ++m_Counters.m_Retries;
-  Of.m_Avoid = Row.m_Route;
-  m_Timers.cancel(Of.m_HedgeTimer);
-  m_Services[Of.m_Service].m_Queue.returnTask(Ended.m_Submission, Ended.m_Task);
-  markDirty(Of.m_Service);
+  if (!retryUnknown(Ended))
+    answerNotCompleted(Ended.m_Submission, Outcome::Unknown,
+                       RefusalReason::None, std::move(Detail));
 }
 
 void EntryCore::Impl::orphanExpired(AttemptIndex Index) {
--- a/src/entry/EntryCoreImpl.h
+++ b/src/entry/EntryCoreImpl.h
@@ -117,6 +117,8 @@
   std::optional<AgentRowIndex> chooseAgent(const Submission &For);
   AttemptIndex startAttempt(SubmissionIndex Owner, std::uint32_t TaskNumber,
                             AgentRowIndex To);
+  void addHedgeTimer(SubmissionIndex Owner, Duration After);
+  bool isStraggler(const AgentRow &Row) const;
   void startHedge(SubmissionIndex Owner);
   void armHedge(SubmissionIndex Owner);
 
@@ -129,6 +131,10 @@
   void detach(const Attempt &Ended, AttemptIndex Index);
   void abandonRoute(Attempt &Open);
   void taskEnded(const Attempt &Ended, const TaskResult &Result);
+  bool mayRepeat(const Submission &Of);
+  /// Both are false when the request must be answered now.
+  bool retryFailed(const Attempt &Ended);
+  bool retryUnknown(const Attempt &Ended);
   void unknownOutcome(const Attempt &Ended, std::string_view Why);
   void orphanExpired(AttemptIndex Index);
 
--- a/src/entry/EntryDispatch.cpp
+++ b/src/entry/EntryDispatch.cpp
@@ -122,10 +122,19 @@
     return;
   const double After =
       static_cast<double>(Usual.count()) * m_Preset->m_HedgeAfter;
-  const TimePoint Due = m_Now + Duration(static_cast<std::int64_t>(After));
+  addHedgeTimer(Owner, Duration(static_cast<std::int64_t>(After)));
+}
+
+void EntryCore::Impl::addHedgeTimer(SubmissionIndex Owner, Duration After) {
+  Submission &Of = m_Submissions[Owner];
   m_Timers.cancel(Of.m_HedgeTimer);
-  if (Due < Of.m_Deadline)
-    Of.m_HedgeTimer = m_Timers.add(Due, TimerKind::Hedge, Owner);
+  if (m_Now + After < Of.m_Deadline)
+    Of.m_HedgeTimer = m_Timers.add(m_Now + After, TimerKind::Hedge, Owner);
+}
+
+bool EntryCore::Impl::isStraggler(const AgentRow &Row) const {
+  return Row.m_Silence == SilenceState::Suspected ||
+         (Row.m_Route && m_Router.isSlow(*Row.m_Route, m_Now));
 }
 
 void EntryCore::Impl::startHedge(SubmissionIndex Owner) {
@@ -137,6 +146,10 @@
   if (!Allowed)
     return;
   const AgentRowIndex FirstRow = m_Attempts[First].m_Agent;
+  // A long task at an agent of usual speed would take as long elsewhere:
+  // hedging those cost 0.2 messages a task without any fault and won nothing.
+  if (!isStraggler(m_Rows[FirstRow]))
+    return addHedgeTimer(Owner, m_Router.usualRunTime(In.m_Name));
   Of.m_Avoid = m_Rows[FirstRow].m_Route;
   const std::optional<AgentRowIndex> To = chooseAgent(Of);
   // Both attempts at one agent could not be cancelled apart.
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -5,6 +5,7 @@
 #include "entry/FittingAgents.h"
 #include "entry/RandomSource.h"
 #include "entry/RoutingChoice.h"
+#include "entry/Slowdown.h"
 
 namespace cyclamencroft {
 namespace {
@@ -129,7 +130,9 @@
 
 void Router::dispatched(AgentIndex Agent, TimePoint Now) {
   m_Impl->m_Table.advance(Now);
-  m_Impl->m_Table.row(Agent).m_Load.dispatched(Now);
+  EndpointRow &Row = m_Impl->m_Table.row(Agent);
+  Row.m_Load.dispatched(Now);
+  Row.m_Progress.taskSent(Now);
   m_Impl->m_Table.refresh(Agent);
 }
 
@@ -140,6 +143,7 @@
   EndpointRow &Row = Table.row(Agent);
   Row.m_Load.settled();
   Row.m_Load.reported(Result.m_Running, Now);
+  Row.m_Progress.taskFinished(Now);
   m_Impl->learn(Row, Result, Now);
   Table.ejectIfFailing(Agent);
   Table.refresh(Agent);
@@ -152,6 +156,7 @@
   EndpointRow &Row = Table.row(Agent);
   Row.m_Load.settled();
   Row.m_Load.reported(Refusal.m_Running, Now);
+  Row.m_Progress.taskLeft(Now);
   if (tellsFull(Refusal.m_Reason))
     Row.m_Load.refusedAsFull(Row.m_Slots);
   if (Refusal.m_Reason == RefusalReason::NoSlot)
@@ -159,11 +164,19 @@
   Table.refresh(Agent);
 }
 
-void Router::abandoned(AgentIndex Agent) {
-  m_Impl->m_Table.row(Agent).m_Load.settled();
+void Router::abandoned(AgentIndex Agent, TimePoint Now) {
+  EndpointRow &Row = m_Impl->m_Table.row(Agent);
+  Row.m_Load.settled();
+  Row.m_Progress.taskLeft(Now);
   m_Impl->m_Table.refresh(Agent);
 }
 
+bool Router::isSlow(AgentIndex Agent, TimePoint Now) const {
+  const EndpointRow &Row = m_Impl->m_Table.row(Agent);
+  return Row.m_Class &&
+         slowdown(Row, *Row.m_Class->m_Service, Now) >= StragglerRatio;
+}
+
 TimePoint Router::nextChange() const { return m_Impl->m_Table.nextChange(); }
 
 Duration Router::usualRunTime(std::string_view Service) const {
--- a/src/entry/Router.h
+++ b/src/entry/Router.h
@@ -61,12 +61,16 @@
   void dispatched(AgentIndex Agent, TimePoint Now);
   void finished(AgentIndex Agent, const TaskResult &Result, TimePoint Now);
   void refused(AgentIndex Agent, const TaskRefused &Refusal, TimePoint Now);
-  void abandoned(AgentIndex Agent);
+  void abandoned(AgentIndex Agent, TimePoint Now);
 
   /// When an agent that can't be chosen now may become so without a message
   /// (end of an ejection, expiry of a load report); TimePoint::max() for never.
   TimePoint nextChange() const;
 
+  /// True when the agent's tasks take several times as long as the service's,
+  /// or too few of those outstanding have ended.
+  bool isSlow(AgentIndex Agent, TimePoint Now) const;
+
   /// Usual run time of the service (moving mean); zero before the first result.
   Duration usualRunTime(std::string_view Service) const;
 
--- a/src/entry/ShareChoice.cpp
+++ b/src/entry/ShareChoice.cpp
@@ -1,32 +1,12 @@
 // The policy that is used in earnest.
 #include "entry/RoutingChoice.h"
+#include "entry/Slowdown.h"
 
 #include <algorithm>
 
 namespace cyclamencroft {
 namespace {
 
-// A mean over fewer samples says little about an agent.
-constexpr std::int64_t SamplesToJudge = 8;
-// Run times of one service vary; below this ratio nothing is concluded.
-constexpr double NormalRatio = 1.5;
-constexpr double MaxRatio = 8.0;
-// A straggler gets few tasks; after this time it is tried afresh.
-constexpr Duration JudgementAge = std::chrono::seconds(10);
-
-/// How many times slower than the service's mean the agent is; at least 1.
-double slowdown(const EndpointRow &Row, const ServiceGroup &Service,
-                TimePoint Now) {
-  const RunTimeMean &Own = Row.m_RunTime;
-  const Duration Usual = Service.m_RunTime.mean();
-  if (Own.samples() < SamplesToJudge || Usual.count() <= 0)
-    return 1.0;
-  if (Now - Own.lastSample() > JudgementAge)
-    return 1.0;
-  const double Ratio = static_cast<double>(Own.mean().count()) / Usual.count();
-  return Ratio < NormalRatio ? 1.0 : std::min(Ratio, MaxRatio);
-}
-
 /// Expected burden of one more task; lower is better.
 double score(const ChoiceContext &Context, AgentIndex Agent) {
   const EndpointRow &Row = Context.m_Table.row(Agent);
@@ -64,13 +44,48 @@
   return HasRoom ? Avoided : std::nullopt;
 }
 
+bool isStraggler(const ChoiceContext &Context, AgentIndex Agent) {
+  const EndpointRow &Row = Context.m_Table.row(Agent);
+  return slowdown(Row, Context.m_Service, Context.m_Now) >= StragglerRatio;
+}
+
+/// When the run times of a whole service grow, every agent looks slow until the
+/// mean follows; a sample tells that from one straggler.
+bool othersAreSlow(const ChoiceContext &Context, AgentIndex Agent) {
+  constexpr int Samples = 4;
+  const auto Count = static_cast<std::uint32_t>(Context.m_Agents.memberCount());
+  for (int I = 0; I < Samples; ++I) {
+    const AgentIndex Other =
+        Context.m_Agents.member(Context.m_Random.below(Count));
+    const bool Usable = Context.m_Table.row(Other).takesWork();
+    if (Other != Agent && Usable && !isStraggler(Context, Other))
+      return false;
+  }
+  return true;
+}
+
+/// A straggler keeps one task, so that its recovery is seen. Beyond that, a
+/// task is served sooner by the next free slot of any other agent.
+bool mayTakeMore(const ChoiceContext &Context, AgentIndex Straggler) {
+  return Context.m_Table.row(Straggler).m_Progress.outstanding() == 0 ||
+         othersAreSlow(Context, Straggler);
+}
+
 } // namespace
 
 std::optional<AgentIndex> chooseByShare(const ChoiceContext &Context) {
-  for (const Place Where : {Place::Share, Place::Borrow, Place::Queue})
-    if (const auto Agent = betterOfTwo(Context, Where))
+  std::optional<AgentIndex> Straggler;
+  for (const Place Where : {Place::Share, Place::Borrow, Place::Queue}) {
+    const auto Agent = betterOfTwo(Context, Where);
+    if (!Agent)
+      continue;
+    if (!isStraggler(Context, *Agent))
       return Agent;
-  return lastResort(Context);
+    Straggler = Agent;
+  }
+  if (!Straggler)
+    return lastResort(Context);
+  return mayTakeMore(Context, *Straggler) ? Straggler : std::nullopt;
 }
 
 } // namespace cyclamencroft
