Pause before accepting a link again when accepting fails

websocketpp's loop accepts again at once after a failure, so a process without a free descriptor spins on the thread that also runs the entry's core. The server now runs its own loop and waits 100 ms; a connection that was waiting is accepted once a descriptor is free.

Link suite: passed in the release build and, twice, under AddressSanitizer with leak detection. With UBSan's vptr check the new test reports a false finding: the check itself needs a descriptor, and a program of four lines that only sets the same limit and calls error_code::message() reports the same. The other suites of the parts (EntryDaemons, Http, Relays) passed under ASan and UBSan.

--- a/src/link/LinkServer.cpp
+++ b/src/link/LinkServer.cpp
@@ -1,6 +1,7 @@
 // websocketpp server of links.
 #include "link/LinkServer.h"
 
+#include "core/RuntimeTimer.h"
 #include "core/SocketAddress.h"
 #include "link/WebsocketLinks.h"
 
@@ -13,12 +14,15 @@
 
 using Server = websocketpp::server<LinkWebsocketConfig>;
 
+/// Pause after a failed accept.
+constexpr Duration AcceptRetry{std::chrono::milliseconds(100)};
+
 } // namespace
 
 class LinkServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(boost::asio::io_context &Io, LinkHandlers Handlers)
-      : m_Io(Io), m_Links(Io, std::move(Handlers)) {}
+      : m_Io(Io), m_Links(Io, std::move(Handlers)), m_Retry(Io) {}
 
   void listen(const std::string &Listen) {
     m_Server.init_asio(&m_Io);
@@ -30,13 +34,12 @@
                                ": expected IP:port");
     websocketpp::lib::error_code Fault;
     m_Server.listen(*Address, Fault);
-    if (!Fault)
-      m_Server.start_accept(Fault);
     if (Fault)
       throw std::runtime_error("listen for links, " + Listen + ": " +
                                Fault.message());
     websocketpp::lib::asio::error_code Ignored;
     m_Port = m_Server.get_local_endpoint(Ignored).port();
+    accept();
   }
 
   void stopAccepting() {
@@ -44,6 +47,7 @@
       return;
     websocketpp::lib::error_code Ignored;
     m_Server.stop_listening(Ignored);
+    m_Retry.cancel();
     // The aborted accept refers to the server; it completes before this.
     boost::asio::post(m_Io, [Self = shared_from_this()] {});
   }
@@ -59,6 +63,39 @@
   std::uint16_t m_Port = 0;
 
 private:
+  /// Replaces the library's own loop, which accepts again without a pause when
+  /// accepting fails, for example because no descriptor is left.
+  void accept() {
+    if (!m_Server.is_listening())
+      return;
+    const Server::connection_ptr Con = m_Server.get_connection();
+    websocketpp::lib::error_code Fault;
+    m_Server.async_accept(
+        Con,
+        [this, Con](const websocketpp::lib::error_code &Failed) {
+          if (Failed)
+            return acceptLater(Failed);
+          Con->start();
+          accept();
+        },
+        Fault);
+    if (Fault)
+      acceptLater(Fault);
+  }
+
+  void acceptLater(const websocketpp::lib::error_code &Fault) {
+    if (!m_Server.is_listening())
+      return;
+    logEvent(LogLevel::Warning, "link-accept-failed",
+             {{"reason", Fault.message()}});
+    m_Retry.expires_after(AcceptRetry);
+    m_Retry.async_wait(
+        [this, Self = shared_from_this()](boost::system::error_code Cancelled) {
+          if (!Cancelled)
+            accept();
+        });
+  }
+
   // Handlers refer to this object by a plain pointer: m_Owner of the
   // connection that they are called for keeps it alive.
   void installHandlers() {
@@ -94,6 +131,8 @@
              {{"peer", Con->get_remote_endpoint()},
               {"reason", "handshake failed: " + Con->get_ec().message()}});
   }
+
+  RuntimeTimer m_Retry;
 };
 
 LinkServer::LinkServer(boost::asio::io_context &Io, const std::string &Listen,
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <optional>
+#include <sys/resource.h>
 
 using namespace cyclamencroft;
 using Tcp = boost::asio::ip::tcp;
@@ -198,6 +198,30 @@
   BOOST_TEST(Accepting.m_Messages.empty());
 }
 
+// Guards against a server that spins, or stops accepting for good, when the
+// process has no descriptor left.
+BOOST_AUTO_TEST_CASE(AcceptingWaitsForADescriptor) {
+  boost::asio::io_context Io;
+  Side Accepting;
+  LinkServer Server(Io, "127.0.0.1:0", Accepting.handlers());
+  Io.poll();
+  RawPeer Peer(Io, Server.port());
+  rlimit Usual{};
+  BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &Usual) == 0);
+  rlimit None = Usual;
+  None.rlim_cur = 3;
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &None) == 0);
+  Io.restart();
+  const std::size_t Steps = Io.run_for(std::chrono::milliseconds(350));
+  setrlimit(RLIMIT_NOFILE, &Usual);
+  BOOST_TEST(Steps >= 2U);
+  BOOST_TEST(Steps <= 20U);
+  Peer.write("GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+             "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+             "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+  runUntil(Io, [&] { return Accepting.m_Opened.size() == 1; });
+}
+
 // Guards against memory that grows without bound for a peer that does not read.
 BOOST_AUTO_TEST_CASE(SlowReadersAreClosed) {
   boost::asio::io_context Io;
