--- a/tests/session/FakeNetwork.cpp
+++ b/tests/session/FakeNetwork.cpp
@@ -4,6 +4,12 @@
 #include "Transcript.h"
 
 namespace cyclamencroft::session {
+namespace {
+
+// Enough for the dispatches that are outstanding at one agent in a session.
+constexpr std::size_t RememberedMessages = 16;
+
+} // namespace
 
 void FakeNetwork::attach(const std::string &Name, NetworkNode &Node) {
   m_Nodes[Name] = &Node;
@@ -38,8 +44,10 @@
     return;
   ++m_Sent;
   const Path Way{Side->second.m_Node, peerOf(From)};
-  m_Last[{Way, typeName(Message)}] = {Message, m_Lives[Way.first],
-                                      m_Lives[Way.second]};
+  auto &Lately = m_SentLately[{Way, typeName(Message)}];
+  Lately.push_front({Message, m_Lives[Way.first], m_Lives[Way.second]});
+  if (Lately.size() > RememberedMessages)
+    Lately.pop_back();
   push(From, Item{Message});
 }
 
@@ -142,11 +150,11 @@
 }
 
 bool FakeNetwork::duplicate(const std::string &From, const std::string &To,
-                            const std::string &Type) {
-  const auto Found = m_Last.find({Path{From, To}, Type});
-  if (Found == m_Last.end())
+                            const std::string &Type, std::size_t Back) {
+  const auto Found = m_SentLately.find({Path{From, To}, Type});
+  if (Found == m_SentLately.end() || Found->second.size() <= Back)
     return false;
-  const SentMessage &Sent = Found->second;
+  const SentMessage &Sent = Found->second[Back];
   const auto Ends = endsBetween(From, To);
   if (Ends.empty() || Sent.m_FromLife != m_Lives[From] ||
       Sent.m_ToLife != m_Lives[To])
--- a/tests/session/FakeNetwork.h
+++ b/tests/session/FakeNetwork.h
@@ -50,11 +50,12 @@
   void release(const std::string &From, const std::string &To);
   void releaseAll();
 
-  /// Delivers the last message of \p Type sent from one process to another
-  /// again, also on a later link of the same two processes. A sender's fault
+  /// Delivers a message of \p Type from one process to another again: the last
+  /// one sent, or one that is \p Back messages older; it may have been lost in
+  /// a cut. Also on a later link of the same two processes. A sender's fault
   /// and not one of TCP, but the system must bear it.
   bool duplicate(const std::string &From, const std::string &To,
-                 const std::string &Type);
+                 const std::string &Type, std::size_t Back = 0);
 
   /// Name of the process at the other end; empty for a closed link.
   std::string peerOf(LinkId End) const;
@@ -97,8 +98,8 @@
     std::uint64_t m_FromLife = 0;
     std::uint64_t m_ToLife = 0;
   };
-  /// By path and type of message.
-  std::map<std::pair<Path, std::string>, SentMessage> m_Last;
+  /// The newest messages by path and type, newest first.
+  std::map<std::pair<Path, std::string>, std::deque<SentMessage>> m_SentLately;
   /// Number of starts of each process.
   std::map<std::string, std::uint64_t> m_Lives;
   std::uint64_t m_NextLink = 1;
--- a/tests/session/RandomSchedule.cpp
+++ b/tests/session/RandomSchedule.cpp
@@ -126,35 +126,47 @@
   std::string B = chance(15) ? anyEntry() : anyAgent();
   if (A == B)
     B = anyAgent();
-  FakeNetwork &Network = m_Session.network();
   if (Kind <= 1) {
-    m_Session.note("break " + A + " " + B);
-    Network.cut(A, B);
-    if (Kind == 0)
-      Network.join(A, B);
-    else
-      later(4s, [this, A, B] { m_Session.network().join(A, B); });
+    breakLink(A, B, Kind == 0);
   } else if (Kind <= 3) {
     if (Kind == 3)
       std::swap(A, B);
     m_Session.note("hold " + A + " " + B);
-    Network.hold(A, B);
+    m_Session.network().hold(A, B);
     later(4s, [this, A, B] {
       m_Session.note("release " + A + " " + B);
       m_Session.network().release(A, B);
     });
   } else if (Kind == 4) {
-    m_Session.note("duplicate Dispatch " + A + " " + B);
-    Network.duplicate(A, B, "Dispatch");
+    duplicate(A, B, "Dispatch");
   } else {
     static const char *const Types[] = {"TaskResult", "TaskRefused",
                                         "ReconcileReply"};
-    const std::string Type = Types[below(3)];
-    m_Session.note("duplicate " + Type + " " + B + " " + A);
-    Network.duplicate(B, A, Type);
+    duplicate(B, A, Types[below(3)]);
   }
 }
 
+void RandomSchedule::breakLink(const std::string &A, const std::string &B,
+                               bool Rejoin) {
+  m_Session.note("break " + A + " " + B);
+  m_Session.network().cut(A, B);
+  if (Rejoin)
+    m_Session.network().join(A, B);
+  else
+    later(4s, [this, A, B] { m_Session.network().join(A, B); });
+  // What was lost under way may turn up on the next link.
+  for (int I = 0; I < 4; ++I)
+    later(2s, [this, A, B] { duplicate(A, B, "Dispatch"); });
+}
+
+void RandomSchedule::duplicate(const std::string &From, const std::string &To,
+                               const std::string &Type) {
+  const std::uint32_t Back = below(6);
+  if (m_Session.network().duplicate(From, To, Type, Back))
+    m_Session.note("duplicate " + Type + " " + From + " " + To +
+                   " back=" + std::to_string(Back));
+}
+
 void RandomSchedule::disturbProcess(std::uint32_t Kind) {
   const std::string Name = chance(70) ? anyAgent() : anyEntry();
   if (Kind == 0) {
--- a/tests/session/RandomSchedule.h
+++ b/tests/session/RandomSchedule.h
@@ -23,6 +23,9 @@
   void submit();
   void disturb();
   void disturbLink(std::uint32_t Kind);
+  void breakLink(const std::string &A, const std::string &B, bool Rejoin);
+  void duplicate(const std::string &From, const std::string &To,
+                 const std::string &Type);
   void disturbProcess(std::uint32_t Kind);
   void disturbEndpoint(std::uint32_t Kind);
   void disturbCaller(std::uint32_t Kind);
--- a/tests/session/ScheduleTest.cpp
+++ b/tests/session/ScheduleTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::uint64_t UsualSeeds = 300;
+constexpr std::uint64_t UsualSeeds = 1000;
 
 std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
   const char *const Value = std::getenv(Name);
@@ -54,4 +54,27 @@
   BOOST_TEST(Failures == 0);
 }
 
+// Guards against a window whose floor stands still: the agent remembers 1,024
+// sequences of an entry, and the next dispatch would end the link.
+BOOST_AUTO_TEST_CASE(WindowMovesWithTheDispatches) {
+  SessionLayout Layout = SessionLayout::eaux();
+  Layout.m_Entries = 1;
+  Layout.m_Workers = 1;
+  Session Long(Layout);
+  CallerAction Job;
+  Job.m_Entry = "e1";
+  Job.m_JobTasks = 200;
+  Job.m_MustComplete = true;
+  Job.m_Task.m_RunTime = std::chrono::milliseconds(1);
+  for (int I = 0; I < 12; ++I) {
+    Job.m_Name = "job" + std::to_string(I);
+    Long.run(std::chrono::seconds(I + 1));
+    Long.submit(Job);
+  }
+  Long.run(std::chrono::seconds(15));
+  Long.finish();
+  for (const std::string &Violation : Long.checker().violations())
+    BOOST_ERROR(Violation);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/session/Script.cpp
+++ b/tests/session/Script.cpp
@@ -122,7 +122,8 @@
        [](Session &S, const Line &L) {
          S.note("duplicate the last " + L.word(5) + " from " + L.word(3) +
                 " to " + L.word(4));
-         S.network().duplicate(L.word(3), L.word(4), L.word(5));
+         S.network().duplicate(L.word(3), L.word(4), L.word(5),
+                               L.number("back", 0));
        }},
   };
 }
