Replay messages only between the lives that their link joined

A dispatch that an entry sent on the link of a killed agent was replayed to its successor, whose window then had the floor of the earlier life. TCP can't deliver it there; the fake compared the lives at the time of sending instead of those of the link. Change: each end of a link keeps the life of its process.

--- a/tests/session/FakeNetwork.cpp
+++ b/tests/session/FakeNetwork.cpp
@@ -31,8 +31,8 @@
     return false;
   const LinkId Near{m_NextLink++};
   const LinkId Far{m_NextLink++};
-  m_Ends[Near] = End{From, Far, {}, m_Events.now()};
-  m_Ends[Far] = End{To, Near, {}, m_Events.now()};
+  m_Ends[Near] = End{From, m_Lives[From], Far, {}, m_Events.now()};
+  m_Ends[Far] = End{To, m_Lives[To], Near, {}, m_Events.now()};
   m_Nodes.at(To)->linkOpened(Far, From, false);
   m_Nodes.at(From)->linkOpened(Near, To, true);
   return true;
@@ -45,7 +45,9 @@
   ++m_Sent;
   const Path Way{Side->second.m_Node, peerOf(From)};
   auto &Lately = m_SentLately[{Way, typeName(Message)}];
-  Lately.push_front({Message, m_Lives[Way.first], m_Lives[Way.second]});
+  const auto Other = m_Ends.find(Side->second.m_Other);
+  const std::uint64_t ToLife = Other == m_Ends.end() ? 0 : Other->second.m_Life;
+  Lately.push_front({Message, Side->second.m_Life, ToLife});
   if (Lately.size() > RememberedMessages)
     Lately.pop_back();
   push(From, Item{Message});
--- a/tests/session/FakeNetwork.h
+++ b/tests/session/FakeNetwork.h
@@ -70,6 +70,8 @@
   /// One end; what it sends is queued here until it arrives at the other.
   struct End {
     std::string m_Node;
+    /// Start of the process that owns this end; see m_Lives.
+    std::uint64_t m_Life = 0;
     LinkId m_Other{};
     std::deque<Item> m_Queue;
     /// Arrival time of the last item; later ones don't overtake it.
@@ -92,7 +94,7 @@
   std::map<LinkId, End> m_Ends;
   std::set<Path> m_Cut;
   std::set<Path> m_Held;
-  /// A message and the lives of the two processes when it was sent.
+  /// A message and the lives of the two processes that its link joined.
   struct SentMessage {
     LinkMessage m_Message;
     std::uint64_t m_FromLife = 0;
