--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -19,6 +19,8 @@
 namespace acc = boost::accumulators;
 
 constexpr double MicrosecondsPerSecond = 1e6;
+// P-square starts from five samples; before that it reports an arbitrary one.
+constexpr std::size_t SamplesForQuantiles = 5;
 constexpr std::array<double, 3> Quantiles = {0.5, 0.9, 0.99};
 
 using Totals =
@@ -42,7 +44,8 @@
 
 void print(std::ostream &Out, const std::string &Name, const Distribution &D) {
   Out << "# TYPE cyclamencroft_" << Name << "_seconds summary\n";
-  for (std::size_t I = 0; I < Quantiles.size(); ++I)
+  const bool HasQuantiles = acc::count(D.m_Totals) >= SamplesForQuantiles;
+  for (std::size_t I = 0; HasQuantiles && I < Quantiles.size(); ++I)
     Out << "cyclamencroft_" << Name << "_seconds{quantile=\"" << Quantiles[I]
         << "\"} " << acc::p_square_quantile(D.m_Quantiles[I]) << '\n';
   Out << "cyclamencroft_" << Name << "_seconds_sum " << acc::sum(D.m_Totals)
--- a/tests/unit/HttpTest.cpp
+++ b/tests/unit/HttpTest.cpp
@@ -23,7 +23,7 @@
 class RunningServer {
 public:
   explicit RunningServer(HttpServer::Handler Handle,
-                         HttpServer::Limits Limits = {})
+                         const HttpServer::Limits &Limits = {})
       : m_Work(m_Io.get_executor()),
         m_Server(m_Io, "127.0.0.1:0", std::move(Handle), Limits) {
     for (std::thread &Thread : m_Threads)
--- a/tests/unit/TelemetryTest.cpp
+++ b/tests/unit/TelemetryTest.cpp
@@ -78,4 +78,15 @@
   BOOST_TEST(Text.find("cyclamencroft_retries_total 7") != std::string::npos);
 }
 
+// Guards against quantiles that are made up from too few samples: four samples
+// of 35 us to 100 ms read as 35 us at every quantile.
+BOOST_AUTO_TEST_CASE(QuantilesAreLeftOutBelowFiveSamples) {
+  Metrics Numbers;
+  for (int I = 1; I <= 4; ++I)
+    Numbers.observe("response_time", Duration(I * 1000));
+  const std::string Text = Numbers.toPrometheus();
+  BOOST_TEST(Text.find("quantile") == std::string::npos);
+  BOOST_TEST(Text.find("seconds_count 4") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
