Add the client library, move the daemons' headers to include/, let baselines queue

The public folder of the design was empty. It now holds the daemons with their settings and a Client, which the command line uses too. Client tries the next entry only when a call was certainly not run; trying again after a lost answer was ruled out, since a non-idempotent request could run twice.

--- a/apps/AgentMain.cpp
+++ b/apps/AgentMain.cpp
@@ -1,5 +1,5 @@
 // Agent daemon: the sidecar of one endpoint.
-#include "agent/AgentDaemon.h"
+#include "cyclamencroft/AgentDaemon.h"
 #include "settings/SettingsReader.h"
 #include "telemetry/EventLog.h"
 
--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -1,5 +1,5 @@
 // Entry daemon: reads settings, runs until SIGTERM or SIGINT, and drains.
-#include "entry/EntryDaemon.h"
+#include "cyclamencroft/EntryDaemon.h"
 #include "settings/SettingsReader.h"
 #include "telemetry/EventLog.h"
 
--- a/src/agent/AgentDaemon.h
+++ b/include/cyclamencroft/AgentDaemon.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "agent/AgentCore.h"
-#include "settings/AgentSettings.h"
+#include "cyclamencroft/AgentSettings.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/entry/EntryDaemon.h
+++ b/include/cyclamencroft/EntryDaemon.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "config/Configuration.h"
-#include "settings/EntrySettings.h"
+#include "cyclamencroft/EntrySettings.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/agent/AgentDaemon.cpp
+++ b/src/agent/AgentDaemon.cpp
@@ -1,6 +1,6 @@
 // Feeds events to the agent's core and carries out its commands, all on one
 // thread: an agent handles at most some hundred messages a second.
-#include "agent/AgentDaemon.h"
+#include "cyclamencroft/AgentDaemon.h"
 
 #include "agent/AgentHttpRoutes.h"
 #include "agent/EndpointClient.h"
--- a/src/bench/BenchCluster.cpp
+++ b/src/bench/BenchCluster.cpp
@@ -1,11 +1,11 @@
 // Endpoint stand-ins share one thread; each daemon has its own.
 #include "bench/BenchCluster.h"
 
-#include "agent/AgentDaemon.h"
 #include "bench/StandinLog.h"
 #include "config/ConfigRecord.h"
 #include "core/Error.h"
-#include "entry/EntryDaemon.h"
+#include "cyclamencroft/AgentDaemon.h"
+#include "cyclamencroft/EntryDaemon.h"
 #include "http/HttpClient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -46,8 +46,8 @@
   return "preset = \"ordinary\"\n[services." + Sizes.m_Service +
          "]\ndefault_deadline_ms = 40000\nmax_deadline_ms = 60000\n"
          "[presets.ordinary]\nrouting = \"" +
-         Policy + "\"\nhedging = " + (Sizes.m_Hedging ? "true" : "false") +
-         "\n";
+         Policy + "\"\nagent_queue = " + std::to_string(agentQueueOf(Policy)) +
+         "\nhedging = " + (Sizes.m_Hedging ? "true" : "false") + "\n";
 }
 
 /// Status page of an entry; null when it doesn't answer.
--- a/src/cli/EntryCalls.cpp
+++ b/src/cli/EntryCalls.cpp
@@ -2,6 +2,7 @@
 // an unknown outcome, unless it never connected.
 #include "cli/EntryCalls.h"
 
+#include "cyclamencroft/Client.h"
 #include "http/HttpClient.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -9,17 +10,12 @@
 
 #include <charconv>
 #include <functional>
-#include <random>
 
 namespace cyclamencroft {
 namespace {
 
 using Json = nlohmann::ordered_json;
 
-/// Time beyond the deadline in which the entry still answers.
-constexpr std::chrono::seconds AnswerSlack{5};
-/// Used when the caller names no deadline; above any service's default.
-constexpr std::chrono::minutes LongestAnswer{10};
 constexpr std::chrono::seconds OperatorTimeout{5};
 
 constexpr unsigned Ok = 200;
@@ -27,20 +23,6 @@
 /// Statuses for input that the entry's HTTP server or parser rejects.
 constexpr unsigned InvalidStatuses[] = {400, 404, 405, 413, 414, 431};
 
-std::string drawRequestId() {
-  std::random_device Source;
-  std::uniform_int_distribution<std::uint64_t> Draw;
-  return RequestId{Draw(Source), Draw(Source)}.toHex();
-}
-
-std::string formatNeed(const Size &Need) {
-  return "cores=" + std::to_string(Need.m_Cores) +
-         ",memory-mib=" + std::to_string(Need.m_MemoryMiB) +
-         ",accelerators=" + std::to_string(Need.m_Accelerators);
-}
-
-bool isAnything(const Size &Need) { return !Size{}.holds(Need); }
-
 CommandResult callFailed(const Error &Fault, const std::string &RequestId) {
   const bool Sent = Fault.m_Step != "connect";
   const Json Fields{{"outcome", Sent ? "unknown" : "not-run"},
@@ -62,32 +44,14 @@
       [] { return makeFailure(ExitCode::Failed, "unexpected error"); });
 }
 
-struct CallerFields {
-  std::string m_Team;
-  std::uint32_t m_DeadlineMs;
-  Size m_Need;
-};
-
-HttpCall makePost(const std::string &Entry, const std::string &Target,
-                  const std::string &RequestId, const CallerFields &Fields) {
-  HttpCall Call;
-  Call.m_Address = Entry;
-  Call.m_Method = "POST";
-  Call.m_Target = Target;
-  Call.m_Headers.emplace_back("Cyclamencroft-Request-Id", RequestId);
-  if (!Fields.m_Team.empty())
-    Call.m_Headers.emplace_back("Cyclamencroft-Team", Fields.m_Team);
-  if (isAnything(Fields.m_Need))
-    Call.m_Headers.emplace_back("Cyclamencroft-Need",
-                                formatNeed(Fields.m_Need));
-  Call.m_Timeout = LongestAnswer;
-  if (Fields.m_DeadlineMs > 0) {
-    Call.m_Headers.emplace_back("Cyclamencroft-Deadline-Ms",
-                                std::to_string(Fields.m_DeadlineMs));
-    Call.m_Timeout =
-        std::chrono::milliseconds(Fields.m_DeadlineMs) + AnswerSlack;
-  }
-  return Call;
+CommandResult judgeAnswer(const std::function<Result<ClientAnswer>()> &Call) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<CommandResult> {
+        BOOST_LEAF_AUTO(Answer, Call());
+        return judgeResponse(Answer.m_Response, Answer.m_RequestId);
+      },
+      [&](const Error &Fault) { return callFailed(Fault, ""); },
+      [] { return makeFailure(ExitCode::Failed, "unexpected error"); });
 }
 
 /// Adds the members of a JSON response; any other body is kept as text.
@@ -170,31 +134,21 @@
 }
 
 CommandResult sendRequest(const RequestOptions &Options) {
-  const std::string Id = drawRequestId();
-  HttpCall Call = makePost(
-      Options.m_Entry, "/v1/services/" + Options.m_Service + "/requests", Id,
-      {Options.m_Team, Options.m_DeadlineMs, Options.m_Need});
-  if (Options.m_NonIdempotent)
-    Call.m_Headers.emplace_back("Cyclamencroft-Non-Idempotent", "true");
-  if (!Options.m_Key.empty())
-    Call.m_Headers.emplace_back("Cyclamencroft-Key", Options.m_Key);
-  Call.m_Body = Options.m_Body;
-  return callEntry(Call, Id, [&Id](const HttpResponse &Response) {
-    return judgeResponse(Response, Id);
-  });
+  const Client Entry({Options.m_Entry});
+  const ClientRequest Request{
+      {Options.m_Service, Options.m_Team, Options.m_DeadlineMs, Options.m_Need},
+      Options.m_NonIdempotent,
+      Options.m_Key,
+      Options.m_Body};
+  return judgeAnswer([&] { return Entry.request(Request); });
 }
 
 CommandResult submitJob(const std::string &Entry, const JobFile &Job) {
-  const std::string Id = drawRequestId();
+  const Client Target({Entry});
   const Size Need{Job.m_Cores, Job.m_MemoryMiB, Job.m_Accelerators};
-  HttpCall Call = makePost(Entry, "/v1/services/" + Job.m_Service + "/jobs", Id,
-                           {Job.m_Team, Job.m_DeadlineMs, Need});
-  Call.m_Headers.emplace_back("Content-Type", "application/json");
-  Call.m_Body = Json{{"tasks", Job.m_Tasks}}.dump(
-      -1, ' ', false, Json::error_handler_t::replace);
-  return callEntry(Call, Id, [&Id](const HttpResponse &Response) {
-    return judgeResponse(Response, Id);
-  });
+  const ClientJob Submitted{{Job.m_Service, Job.m_Team, Job.m_DeadlineMs, Need},
+                            Job.m_Tasks};
+  return judgeAnswer([&] { return Target.submit(Submitted); });
 }
 
 CommandResult cancelRequest(const std::string &Entry, const std::string &Id) {
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -1,5 +1,5 @@
 // Owns the threads of an entry; EntryLoop runs on the core's thread.
-#include "entry/EntryDaemon.h"
+#include "cyclamencroft/EntryDaemon.h"
 
 #include "entry/EntryLoop.h"
 #include "telemetry/EventLog.h"
--- a/src/entry/EntryLoop.h
+++ b/src/entry/EntryLoop.h
@@ -5,10 +5,10 @@
 #include "config/ConfigWatcher.h"
 #include "core/RcuPointer.h"
 #include "core/RuntimeTimer.h"
+#include "cyclamencroft/EntrySettings.h"
 #include "entry/EntryCore.h"
 #include "entry/EntryHttp.h"
 #include "entry/EntryLinks.h"
-#include "settings/EntrySettings.h"
 #include "telemetry/Metrics.h"
 #include "telemetry/SpanWriter.h"
 
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -1,8 +1,8 @@
 // Reads and checks the settings files of the daemons.
 #pragma once
 
-#include "settings/AgentSettings.h"
-#include "settings/EntrySettings.h"
+#include "cyclamencroft/AgentSettings.h"
+#include "cyclamencroft/EntrySettings.h"
 
 #include <boost/leaf/result.hpp>
 
--- a/tests/unit/AgentDaemonTest.cpp
+++ b/tests/unit/AgentDaemonTest.cpp
@@ -1,6 +1,6 @@
 // Whole agents in one process: link, HTTP and endpoint connections are real,
 // the entry is played by the test.
-#include "agent/AgentDaemon.h"
+#include "cyclamencroft/AgentDaemon.h"
 #include "bench/StandinEndpoint.h"
 #include "link/LinkServer.h"
 
--- a/tests/unit/EntryDaemonTest.cpp
+++ b/tests/unit/EntryDaemonTest.cpp
@@ -1,5 +1,5 @@
 // A whole entry over loopback, with a stand-in for an agent.
-#include "entry/EntryDaemon.h"
+#include "cyclamencroft/EntryDaemon.h"
 #include "http/HttpClient.h"
 #include "link/LinkClient.h"
 
