--- a/tools/capacity-measure/Main.cpp
+++ b/tools/capacity-measure/Main.cpp
@@ -236,11 +236,11 @@
     std::printf(
         "phase=jobs agents=%d callers=%d tasks_per_job=%d completed=%lu "
         "other=%lu tasks_s=%.0f tasks_per_frame=%.2f "
-        "entry_us_task=%.2f entry_threads_us_task=",
+        "entry_us_task=%.2f entry_rss=%lu entry_threads_us_task=",
         m_Options.m_Agents, m_Options.m_Callers, m_Options.m_Tasks, m_Completed,
         m_Other, Done / m_Options.m_JobSeconds,
         Done / static_cast<double>(m_Fleet->frames() - Frames),
-        (After.total() - Before.total()) / Done);
+        (After.total() - Before.total()) / Done, After.m_ResidentBytes);
     for (std::size_t I = 0; I < After.m_Threads.size(); ++I)
       std::printf("%s%.2f", I > 0 ? "," : "",
                   (After.m_Threads[I] - Before.m_Threads[I]) / Done);
