--- a/tools/capacity-measure/Main.cpp
+++ b/tools/capacity-measure/Main.cpp
@@ -223,6 +223,8 @@
   }
 
   void runJobs() {
+    // Without agents the context has run out of work and has stopped.
+    m_Io.restart();
     const ProcessUsage Before = processUsage(m_Options.m_Pid);
     const std::uint64_t Tasks = m_Fleet->tasks();
     const std::uint64_t Frames = m_Fleet->frames();
