Take the entry's hello as the first baseline for delays

Cause: an agent judged a dispatch's delay by earlier dispatches of the same entry, so the first one could start past its deadline after a freeze. Change: EntryHello carries the sender's clock. Ruled out: refusing the first dispatch, which would cost a message for each new link. The new case fails without the line that takes the hello in (1 start instead of 0), and passes with it; all unit and session suites pass.

--- a/src/agent/AgentLinks.cpp
+++ b/src/agent/AgentLinks.cpp
@@ -70,6 +70,7 @@
     resetWindow(Session, Hello.m_Incarnation);
   Session.m_Entry = Hello.m_Incarnation;
   Session.m_EntryId = Hello.m_EntryId;
+  Session.m_Delay.excess(m_Now, Hello.m_SentAt);
   Session.m_Greeted = true;
   log("entry-connected", {{"peer", Hello.m_EntryId},
                           {"window", std::to_string(Session.m_WindowId)}});
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -67,6 +67,8 @@
   /// Live entries known to the sender, itself included; an agent's slots are
   /// shared out over them.
   std::uint32_t m_Entries = 1;
+  /// Sender's clock at sending: the first baseline for the delay of dispatches.
+  TimePoint m_SentAt{};
 };
 
 /// Asks an agent to start one task.
--- a/src/entry/EntryAgents.cpp
+++ b/src/entry/EntryAgents.cpp
@@ -159,6 +159,7 @@
   Hello.m_Incarnation = m_Options.m_Incarnation;
   Hello.m_ConfigVersion = m_Versions.current();
   Hello.m_Entries = m_Entries;
+  Hello.m_SentAt = m_Now;
   sendToAgent(Row, std::move(Hello));
   sendView(Row);
   if (Row.m_Ledger.outstanding() > 0)
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -40,6 +40,7 @@
     m_Visit("incarnation", Message.m_Incarnation);
     m_Visit("config version", Message.m_ConfigVersion);
     m_Visit("entries", Message.m_Entries);
+    m_Visit("sent at", Message.m_SentAt);
   }
   template <class M> void visit(M &Message, Dispatch *) const {
     m_Visit("sequence", Message.m_Sequence);
--- a/tests/unit/AgentCoreFixture.h
+++ b/tests/unit/AgentCoreFixture.h
@@ -74,6 +74,7 @@
     EntryHello Hello;
     Hello.m_EntryId = "entry-a";
     Hello.m_Incarnation = Incarnation{EntryIncarnation};
+    Hello.m_SentAt = m_Now + m_ClockOffset;
     receive(Hello);
   }
   /// Announced endpoint, one entry connected.
--- a/tests/unit/AgentTasksTest.cpp
+++ b/tests/unit/AgentTasksTest.cpp
@@ -167,6 +167,18 @@
   BOOST_TEST(refusal() == RefusalReason::DeadlinePassed);
 }
 
+// Guards against a first dispatch that starts past its deadline, because no
+// earlier one tells how long messages of its entry are under way.
+BOOST_AUTO_TEST_CASE(FirstDispatchIsJudgedByTheDelayOfTheHello) {
+  connect();
+  m_TimeLeft = Second;
+  const Dispatch Late = dispatchOf(1);
+  advance(1100 * Millisecond);
+  receive(Late);
+  BOOST_TEST(starts() == 0U);
+  BOOST_TEST(refusal() == RefusalReason::DeadlinePassed);
+}
+
 // Guards against an estimate that is lost with the link: the first dispatch
 // after a freeze often comes on a new link.
 BOOST_AUTO_TEST_CASE(DelayIsKnownOnNewLinkOfSameEntry) {
