--- a/src/cli/BenchCommands.cpp
+++ b/src/cli/BenchCommands.cpp
@@ -1,4 +1,5 @@
 // The bench subcommand: response time over the ideal and wasted messages.
+#include "bench/BenchPlot.h"
 #include "bench/BenchSuite.h"
 #include "cli/Commands.h"
 #include "telemetry/EventLog.h"
@@ -6,6 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <memory>
 #include <stdexcept>
 
@@ -18,11 +20,29 @@
     "Example: cyclamencroft bench --scenario load-80 --policy share "
     "--policy random";
 
-CommandResult runBench(const SuiteOptions &Options,
-                       const std::string &LogFile) {
-  EventLog::open(LogFile, "bench");
+/// Where the bench writes beside its report.
+struct BenchFiles {
+  std::string m_Log = "/dev/null";
+  /// Prefix of "-p99.svg" and "-wasted.svg"; empty plots nothing.
+  std::string m_Plot;
+};
+
+void writePlots(const std::vector<BenchRow> &Rows, const std::string &Prefix) {
+  if (Prefix.empty())
+    return;
+  std::ofstream Response(Prefix + "-p99.svg");
+  Response << plotSvg(Rows, PlotMeasure::P99OverIdeal);
+  std::ofstream Wasted(Prefix + "-wasted.svg");
+  Wasted << plotSvg(Rows, PlotMeasure::WastedPerTask);
+  if (!Response.flush() || !Wasted.flush())
+    throw std::runtime_error("cannot write plots at '" + Prefix + "'");
+}
+
+CommandResult runBench(const SuiteOptions &Options, const BenchFiles &Files) {
+  EventLog::open(Files.m_Log, "bench");
   try {
     const std::vector<BenchRow> Rows = runSuite(Options);
+    writePlots(Rows, Files.m_Plot);
     CommandResult Result;
     Result.m_Text = toTable(Rows);
     Result.m_Json = toJson(Rows) + "\n";
@@ -38,7 +58,7 @@
 
 void addBenchCommand(CLI::App &App, CommandSink &Sink) {
   const auto Options = std::make_shared<SuiteOptions>();
-  const auto LogFile = std::make_shared<std::string>("/dev/null");
+  const auto Files = std::make_shared<BenchFiles>();
   Options->m_Deployments = {"regie", "salgema"};
   Options->m_Scenarios = scenarioNames();
   Options->m_Policies = {"share", "random", "round-robin", "least-loaded"};
@@ -63,11 +83,12 @@
                    "rows that run at the same time")
       ->check(CLI::Range(1, 8))
       ->capture_default_str();
-  Bench->add_option("--log-file", *LogFile, "log of the daemons")
+  Bench->add_option("--log-file", Files->m_Log, "log of the daemons")
       ->capture_default_str();
-  Bench->callback([Options, LogFile, &Sink] {
-    Sink.m_Result = runBench(*Options, *LogFile);
-  });
+  Bench->add_option("--plot", Files->m_Plot,
+                    "prefix of two SVG plots, such as out/bench");
+  Bench->callback(
+      [Options, Files, &Sink] { Sink.m_Result = runBench(*Options, *Files); });
 }
 
 } // namespace cyclamencroft
