--- a/src/cli/ConfigCommands.cpp
+++ b/src/cli/ConfigCommands.cpp
@@ -1,6 +1,7 @@
 // config check, publish and show; preset show and switch.
 #include "cli/Commands.h"
 #include "cli/ConfigPublisher.h"
+#include "cli/ConfigRecovery.h"
 #include "cli/EntryCalls.h"
 #include "config/ConfigDocument.h"
 #include "settings/TextFormat.h"
@@ -44,6 +45,13 @@
   return ExitCode::Failed;
 }
 
+CommandResult reportPublish(const PublishOutcome &Outcome) {
+  const Json Fields{{"result", Outcome.m_Detail},
+                    {"version", Outcome.m_Version},
+                    {"change", Outcome.m_ChangeId}};
+  return makeResult(exitCodeOf(Outcome.m_End), Fields, Outcome.m_Detail + '\n');
+}
+
 CommandResult runPublish(const ConfigArguments &Arguments,
                          const ConfigRecord &Change) {
   PublishRequest Request;
@@ -52,11 +60,7 @@
     Request.m_Base = Arguments.m_Base;
   Request.m_Author = Arguments.m_Author;
   Request.m_Change = Change;
-  const PublishOutcome Outcome = publish(Request);
-  const Json Fields{{"result", Outcome.m_Detail},
-                    {"version", Outcome.m_Version},
-                    {"change", Outcome.m_ChangeId}};
-  return makeResult(exitCodeOf(Outcome.m_End), Fields, Outcome.m_Detail + '\n');
+  return reportPublish(publish(Request));
 }
 
 /// Names of a map, for reports.
@@ -96,6 +100,22 @@
   return runPublish(Arguments, Change);
 }
 
+CommandResult recoverFile(const ConfigArguments &Arguments) {
+  CommandResult Checked = checkDocument(Arguments.m_File);
+  if (Checked.m_Code != ExitCode::Done)
+    return Checked;
+  FaultList Faults(Arguments.m_File);
+  RecoveryRequest Request;
+  Request.m_LogAddress = Arguments.m_Log;
+  Request.m_Document = readTextFile(Arguments.m_File, Faults);
+  const auto Document = parseConfigDocument(Request.m_Document, Faults);
+  if (!Document)
+    return makeFaults(Faults.faults());
+  Request.m_Preset = Document->m_Preset;
+  Request.m_Version = Arguments.m_Base;
+  return reportPublish(recoverConfig(Request));
+}
+
 /// Value of an environment variable that holds an address; empty for none.
 std::string addressFromEnvironment(const char *Name) {
   const char *Text = std::getenv(Name);
@@ -242,6 +262,23 @@
   Publish->add_option("FILE", Arguments->m_File, "document (TOML)")->required();
   addPublishOptions(*Publish, Arguments);
 
+  Arguments = std::make_shared<ConfigArguments>();
+  CLI::App *Recover = addCommand(
+      *Config, "recover",
+      "Restore the document when the log is truncated, holds no snapshot, and "
+      "no entry is left that knows the version in effect.\n"
+      "Example: cyclamencroft config recover configuration.toml --version 912 "
+      "--log 127.0.0.1:7000",
+      Sink, Arguments, recoverFile);
+  Recover->add_option("FILE", Arguments->m_File, "document (TOML)")->required();
+  Recover
+      ->add_option("--version", Arguments->m_Base,
+                   "above every version in the logs of entries and agents "
+                   "(event=config-adopted)")
+      ->required()
+      ->check(CLI::PositiveNumber);
+  addLogOption(*Recover, Arguments->m_Log);
+
   Arguments = std::make_shared<ConfigArguments>();
   CLI::App *Show = addCommand(
       *Config, "show",
--- a/src/cli/ConfigPublisher.cpp
+++ b/src/cli/ConfigPublisher.cpp
@@ -6,8 +6,6 @@
 #include "config/LogProtocol.h"
 #include "core/Ids.h"
 
-#include <boost/leaf/handle_errors.hpp>
-
 #include <random>
 #include <thread>
 
@@ -18,18 +16,6 @@
 /// Wait of one read while looking for the change.
 constexpr std::chrono::milliseconds ReadBackWait{1000};
 
-HttpOutcome callLog(const HttpCall &Call) {
-  return boost::leaf::try_handle_all(
-      [&]() -> Result<HttpOutcome> {
-        BOOST_LEAF_AUTO(Response, httpCall(Call));
-        return HttpOutcome(std::move(Response));
-      },
-      [](const Error &Fault) { return HttpOutcome(Fault); },
-      [&Call] {
-        return HttpOutcome(Error{"call", Call.m_Address, "unexpected error"});
-      });
-}
-
 std::string drawChangeId() {
   std::random_device Source;
   std::uniform_int_distribution<std::uint64_t> Draw;
@@ -134,7 +120,7 @@
   do {
     const LogRead Asked = m_Follower.nextRead();
     const auto Outcome = parseLogRead(
-        m_LogAddress, callLog(makeLogRead(m_LogAddress, Asked, Wait)));
+        m_LogAddress, httpCallOutcome(makeLogRead(m_LogAddress, Asked, Wait)));
     if (const auto *Fault = std::get_if<Error>(&Outcome))
       return *Fault;
     if (const auto *Truncated = std::get_if<LogTruncated>(&Outcome)) {
@@ -184,9 +170,10 @@
   if (const auto Refusal = refuse(Request, Reader, Header))
     return *Refusal;
   const TimePoint Sent = RuntimeClock::now();
-  const auto Appended = parseLogAppend(
-      Request.m_LogAddress,
-      callLog(makeLogAppend(Request.m_LogAddress, formatConfigRecord(Change))));
+  const auto Appended =
+      parseLogAppend(Request.m_LogAddress,
+                     httpCallOutcome(makeLogAppend(
+                         Request.m_LogAddress, formatConfigRecord(Change))));
   std::string Note = "the log confirmed the append";
   if (const auto *Fault = std::get_if<Error>(&Appended)) {
     if (Fault->m_Step == "connect")
--- /dev/null
+++ b/src/cli/ConfigRecovery.cpp
@@ -0,0 +1,44 @@
+// The snapshot holds for every record that was read, so that a change appended
+// meanwhile comes after it.
+#include "cli/ConfigRecovery.h"
+
+#include "config/LogProtocol.h"
+#include "http/HttpClient.h"
+
+#include <utility>
+
+namespace cyclamencroft {
+namespace {
+
+PublishOutcome alreadyKnown(ConfigVersion InEffect) {
+  return {PublishEnd::Rejected, InEffect, "",
+          "version " + std::to_string(InEffect) +
+              " is in effect; publish a change instead"};
+}
+
+} // namespace
+
+PublishOutcome recoverConfig(const RecoveryRequest &Request) {
+  StreamReader Reader(Request.m_LogAddress);
+  if (const auto Fault = Reader.catchUpToVersion(Request.m_Patience))
+    return {PublishEnd::NotReachable, 0, "", Fault->describe()};
+  if (Reader.judge().isCurrent())
+    return alreadyKnown(Reader.judge().currentVersion());
+  const Snapshot Record{Request.m_Version, Reader.judge().nextOffset(),
+                        Request.m_Preset, Request.m_Document};
+  const auto Appended =
+      parseLogAppend(Request.m_LogAddress,
+                     httpCallOutcome(makeLogAppend(
+                         Request.m_LogAddress, formatConfigRecord(Record))));
+  const auto Fault = Reader.catchUp();
+  if (!Fault && Reader.judge().isCurrent())
+    return {PublishEnd::Accepted, Reader.judge().currentVersion(), "",
+            "recovered as version " +
+                std::to_string(Reader.judge().currentVersion())};
+  const auto *Refused = std::get_if<Error>(&Appended);
+  return {PublishEnd::Unknown, 0, "",
+          "the snapshot was not read back" +
+              (Refused ? ": " + Refused->describe() : std::string())};
+}
+
+} // namespace cyclamencroft
--- a/src/client/Client.cpp
+++ b/src/client/Client.cpp
@@ -4,7 +4,6 @@
 #include "core/Error.h"
 #include "http/HttpClient.h"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -56,20 +55,6 @@
   return Call;
 }
 
-using CallEnd = std::variant<HttpResponse, Error>;
-
-CallEnd callOnce(const HttpCall &Call) {
-  return boost::leaf::try_handle_all(
-      [&]() -> Result<CallEnd> {
-        BOOST_LEAF_AUTO(Response, httpCall(Call));
-        return CallEnd(std::move(Response));
-      },
-      [](const Error &Fault) { return CallEnd(Fault); },
-      [] {
-        return CallEnd(Error{"call", "", "unexpected error"});
-      });
-}
-
 /// True when another entry may take the call: it was certainly not run here,
 /// for a reason that lies with this entry.
 struct MayTryNext {
@@ -94,10 +79,10 @@
 
 Result<ClientAnswer> callInTurn(const std::vector<std::string> &Entries,
                                 HttpCall Call, const std::string &Id) {
-  CallEnd End;
+  HttpOutcome End;
   for (const std::string &Entry : Entries) {
     Call.m_Address = Entry;
-    End = callOnce(Call);
+    End = httpCallOutcome(Call);
     if (!std::visit(MayTryNext{}, End))
       break;
   }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <optional>
 
@@ -141,4 +142,16 @@
   return std::move(std::get<HttpResponse>(*Outcome));
 }
 
+HttpOutcome httpCallOutcome(const HttpCall &Call) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<HttpOutcome> {
+        BOOST_LEAF_AUTO(Response, httpCall(Call));
+        return HttpOutcome(std::move(Response));
+      },
+      [](const Error &Fault) { return HttpOutcome(Fault); },
+      [&Call] {
+        return HttpOutcome(Error{"call", Call.m_Address, "unexpected error"});
+      });
+}
+
 } // namespace cyclamencroft
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -41,6 +41,9 @@
 /// Blocking form.
 Result<HttpResponse> httpCall(HttpCall Call);
 
+/// Blocking form for callers that judge the error as a value.
+HttpOutcome httpCallOutcome(const HttpCall &Call);
+
 inline Result<HttpResponse> httpCall(std::string Address, std::string Method,
                                      std::string Target, HttpHeaders Headers,
                                      std::string Body, Duration Timeout) {
--- a/tests/process/RequestPathTest.cpp
+++ b/tests/process/RequestPathTest.cpp
@@ -1,5 +1,6 @@
 // The whole path through separate processes, without faults.
 #include "core/Ids.h"
+#include "cyclamencroft/Client.h"
 #include "process/support/Deployment.h"
 
 #include <boost/test/unit_test.hpp>
@@ -110,4 +111,21 @@
   BOOST_TEST(Cluster.sumStarts("total") == 0U);
 }
 
+// Guards against a client that gives up, or runs a call twice, because the
+// first of its entries is gone.
+BOOST_AUTO_TEST_CASE(ClientMovesOnFromAnEntryThatIsGone) {
+  Deployment Cluster;
+  Cluster.startWhole(2, 1);
+  const Client Entries(
+      {Cluster.m_Entries[0]->m_Http, Cluster.m_Entries[1]->m_Http});
+  Cluster.m_Entries[0]->m_Process->kill();
+  ClientRequest Permit;
+  Permit.m_Fields.m_Service = "permit-desk";
+  Permit.m_NonIdempotent = true;
+  const auto Answer = Entries.request(Permit);
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(Answer->m_Response.header("Cyclamencroft-Outcome") == "completed");
+  BOOST_TEST(Cluster.sumStarts("total") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/BenchReportTest.cpp
+++ b/tests/unit/BenchReportTest.cpp
@@ -1,6 +1,6 @@
 // Figures of the bench's report and plots.
-#include "bench/BenchPlot.h"
 #include "bench/BenchReport.h"
+#include "bench/BenchPlot.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/ConfigPublisherTest.cpp
+++ b/tests/unit/ConfigPublisherTest.cpp
@@ -2,6 +2,7 @@
 #include "cli/ConfigPublisher.h"
 #include "ConfigSamples.h"
 #include "bench/StandinLog.h"
+#include "cli/ConfigRecovery.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -152,4 +153,25 @@
   BOOST_TEST(appendsOf(Log) == 1);
 }
 
+// Guards against a stream that nobody can publish on any more after all entries
+// were replaced and retention has passed the last snapshot, and against a
+// recovery that overrides a version in effect.
+BOOST_AUTO_TEST_CASE(RecoveryRestoresAStreamWithoutSnapshotOnly) {
+  StandinLog Log;
+  publish(documentRequest(Log));
+  Log.append("config", presetRecord("p", 1, "peak"));
+  RecoveryRequest Request;
+  Request.m_LogAddress = Log.address();
+  Request.m_Document = sampleDocument();
+  Request.m_Preset = "ordinary";
+  Request.m_Version = 7;
+  Request.m_Patience = milliseconds(100);
+  BOOST_CHECK(recoverConfig(Request).m_End == PublishEnd::Rejected);
+  Log.truncate(1);
+  const PublishOutcome Recovered = recoverConfig(Request);
+  BOOST_CHECK(Recovered.m_End == PublishEnd::Accepted);
+  BOOST_TEST(Recovered.m_Version == 7U);
+  BOOST_TEST(publish(documentRequest(Log)).m_Version == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryAdmissionTest.cpp
+++ b/tests/unit/EntryAdmissionTest.cpp
@@ -23,101 +23,100 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(EntryAdmission)
+BOOST_FIXTURE_TEST_SUITE(EntryAdmission, EntryCase)
 
 // Guards against work that is accepted although it can't or may not run.
 BOOST_AUTO_TEST_CASE(WorkThatCannotRunIsRefusedWithItsReason) {
-  EntryHarness Entry;
-  RequestArrived New = Entry.request(1);
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::NoEndpoint));
-  Entry.connect("a", 1);
+  RequestArrived New = m_Entry.request(1);
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::NoEndpoint));
+  m_Entry.connect("a", 1);
   New.m_Service = "bakery";
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::UnknownService));
-  New = Entry.request(1);
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::UnknownService));
+  New = m_Entry.request(1);
   New.m_Team = "nobody";
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::UnknownTeam));
-  New = Entry.request(1);
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::UnknownTeam));
+  New = m_Entry.request(1);
   New.m_Need.m_Cores = 17;
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::SizeFitsNoEndpoint));
-  New = Entry.request(1);
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::SizeFitsNoEndpoint));
+  New = m_Entry.request(1);
   New.m_Deadline = -1ms;
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::DeadlinePassed));
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::DeadlinePassed));
+  BOOST_TEST((refusal(m_Entry, m_Entry.job(1, 0)) ==
+              RefusalReason::SizeFitsNoEndpoint));
+  BOOST_TEST((refusal(m_Entry, m_Entry.job(1, 201)) ==
+              RefusalReason::SizeFitsNoEndpoint));
+  m_Entry.adopt(2, "closed");
   BOOST_TEST(
-      (refusal(Entry, Entry.job(1, 0)) == RefusalReason::SizeFitsNoEndpoint));
+      (refusal(m_Entry, m_Entry.request(1)) == RefusalReason::PresetRefuses));
+  m_Entry.adopt(3);
+  BOOST_TEST((refusal(m_Entry, m_Entry.request(1)) == RefusalReason::None));
+  m_Entry.send(ShutdownRequested{});
   BOOST_TEST(
-      (refusal(Entry, Entry.job(1, 201)) == RefusalReason::SizeFitsNoEndpoint));
-  Entry.adopt(2, "closed");
-  BOOST_TEST(
-      (refusal(Entry, Entry.request(1)) == RefusalReason::PresetRefuses));
-  Entry.adopt(3);
-  BOOST_TEST((refusal(Entry, Entry.request(1)) == RefusalReason::None));
-  Entry.send(ShutdownRequested{});
-  BOOST_TEST((refusal(Entry, Entry.request(2)) == RefusalReason::ShuttingDown));
+      (refusal(m_Entry, m_Entry.request(2)) == RefusalReason::ShuttingDown));
 }
 
 // Guards against queues without limit.
 BOOST_AUTO_TEST_CASE(FullQueueRefuses) {
-  EntryHarness Entry;
-  Entry.connect("a", 1);
+  m_Entry.connect("a", 1);
   for (std::uint64_t Number = 1; Number <= 5; ++Number)
-    BOOST_TEST((refusal(Entry, Entry.job(Number, 200)) == RefusalReason::None));
-  BOOST_TEST((refusal(Entry, Entry.job(6, 200)) == RefusalReason::QueueFull));
-  BOOST_TEST(Entry.status().m_Queued == 999U);
-  BOOST_TEST((refusal(Entry, Entry.request(7)) == RefusalReason::None));
-  BOOST_TEST((refusal(Entry, Entry.request(8)) == RefusalReason::QueueFull));
+    BOOST_TEST(
+        (refusal(m_Entry, m_Entry.job(Number, 200)) == RefusalReason::None));
+  BOOST_TEST(
+      (refusal(m_Entry, m_Entry.job(6, 200)) == RefusalReason::QueueFull));
+  BOOST_TEST(m_Entry.status().m_Queued == 999U);
+  BOOST_TEST((refusal(m_Entry, m_Entry.request(7)) == RefusalReason::None));
+  BOOST_TEST(
+      (refusal(m_Entry, m_Entry.request(8)) == RefusalReason::QueueFull));
 }
 
 // Guards against two submissions that cancellation could not tell apart.
 BOOST_AUTO_TEST_CASE(RequestIdInUseIsRefused) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 4);
-  Entry.submit(1);
-  RequestArrived Again = Entry.request(1);
+  const LinkId Agent = m_Entry.connect("a", 4);
+  m_Entry.submit(1);
+  RequestArrived Again = m_Entry.request(1);
   Again.m_Caller = CallerId{2};
-  BOOST_TEST((refusal(Entry, Again) == RefusalReason::RepeatedKey));
-  Entry.finish(Agent, 1);
-  BOOST_TEST(Entry.take<AnswerRequest>().size() == 1U);
-  BOOST_TEST((refusal(Entry, Again) == RefusalReason::None));
+  BOOST_TEST((refusal(m_Entry, Again) == RefusalReason::RepeatedKey));
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().size() == 1U);
+  BOOST_TEST((refusal(m_Entry, Again) == RefusalReason::None));
 }
 
 // Guards against teams that exceed their quota, and against a quota that holds
 // back other teams or a key that is kept for a refused request.
 BOOST_AUTO_TEST_CASE(TeamBeyondItsQuotaIsRefused) {
-  EntryHarness Entry;
-  Entry.connect("a", 100);
-  JobSubmitted New = Entry.job(1, 10);
+  m_Entry.connect("a", 100);
+  JobSubmitted New = m_Entry.job(1, 10);
   New.m_Team = "depot";
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
-  RequestArrived Beyond = Entry.request(2);
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::None));
+  RequestArrived Beyond = m_Entry.request(2);
   Beyond.m_Team = "depot";
   Beyond.m_NonIdempotent = true;
   Beyond.m_Key = "refill-9";
-  BOOST_TEST((refusal(Entry, Beyond) == RefusalReason::QuotaExceeded));
-  RequestArrived Other = Entry.request(3);
+  BOOST_TEST((refusal(m_Entry, Beyond) == RefusalReason::QuotaExceeded));
+  RequestArrived Other = m_Entry.request(3);
   Other.m_Team = "quay";
-  BOOST_TEST((refusal(Entry, Other) == RefusalReason::None));
-  Entry.advance(5s);
-  BOOST_TEST((refusal(Entry, Beyond) == RefusalReason::None));
+  BOOST_TEST((refusal(m_Entry, Other) == RefusalReason::None));
+  m_Entry.advance(5s);
+  BOOST_TEST((refusal(m_Entry, Beyond) == RefusalReason::None));
 }
 
 // Guards against callers that wait for work that can't start in time.
 BOOST_AUTO_TEST_CASE(ExpectedWaitPastTheDeadlineRefuses) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.finish(Agent, 1);
-  Entry.take<AnswerRequest>();
-  Entry.submitJob(2, 150);
-  RequestArrived New = Entry.request(3);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.finish(Agent, 1);
+  m_Entry.take<AnswerRequest>();
+  m_Entry.submitJob(2, 150);
+  RequestArrived New = m_Entry.request(3);
   New.m_Deadline = 5ms;
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::None));
   for (std::uint64_t Number = 4; Number <= 53; ++Number)
-    Entry.submit(Number);
-  New = Entry.request(54);
+    m_Entry.submit(Number);
+  New = m_Entry.request(54);
   New.m_Deadline = 4s;
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::WaitPastDeadline));
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::WaitPastDeadline));
   New.m_Deadline = 8s;
-  BOOST_TEST((refusal(Entry, New) == RefusalReason::None));
+  BOOST_TEST((refusal(m_Entry, New) == RefusalReason::None));
 }
 
 // Guards against estimates that ignore turns, slots or other entries.
@@ -136,12 +135,11 @@
 
 // Guards against a log line for each refusal under overload.
 BOOST_AUTO_TEST_CASE(RefusalsAreLoggedOncePerSecond) {
-  EntryHarness Entry;
   for (std::uint64_t Number = 1; Number <= 500; ++Number)
-    Entry.submit(Number);
-  Entry.take<LogDecision>();
-  Entry.advance(1s);
-  const auto Lines = Entry.take<LogDecision>();
+    m_Entry.submit(Number);
+  m_Entry.take<LogDecision>();
+  m_Entry.advance(1s);
+  const auto Lines = m_Entry.take<LogDecision>();
   BOOST_REQUIRE(Lines.size() == 1U);
   BOOST_TEST(Lines[0].m_Event == "work-refused");
   BOOST_TEST(Lines[0].m_Fields[1].m_Value == "500");
--- a/tests/unit/EntryAtMostOnceTest.cpp
+++ b/tests/unit/EntryAtMostOnceTest.cpp
@@ -23,53 +23,50 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(EntryAtMostOnce)
+BOOST_FIXTURE_TEST_SUITE(EntryAtMostOnce, EntryCase)
 
 // Guards against a task that is moved while its first agent may still run it.
 BOOST_AUTO_TEST_CASE(TaskInDoubtIsNotMovedWithinTheGracePeriod) {
-  EntryHarness Entry;
-  const LinkId First = Entry.connect("a");
-  Entry.submit(1, true);
-  BOOST_REQUIRE(Entry.dispatches(First).size() == 1U);
-  const LinkId Other = Entry.connect("b");
-  Entry.close(First);
-  Entry.advance(1900ms);
-  BOOST_TEST(Entry.dispatches(Other).empty());
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
-  Entry.advance(200ms);
-  BOOST_TEST(Entry.dispatches(Other).empty());
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
+  const LinkId First = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  BOOST_REQUIRE(m_Entry.dispatches(First).size() == 1U);
+  const LinkId Other = m_Entry.connect("b");
+  m_Entry.close(First);
+  m_Entry.advance(1900ms);
+  BOOST_TEST(m_Entry.dispatches(Other).empty());
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  m_Entry.advance(200ms);
+  BOOST_TEST(m_Entry.dispatches(Other).empty());
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Unknown));
 }
 
 // Guards against lost results and second starts after a short link loss.
 BOOST_AUTO_TEST_CASE(ReconciledTaskKeepsRunningAndAnswers) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a", 2);
-  Entry.submit(1, true);
-  Entry.close(Old);
-  const LinkId New = Entry.connect("a", 2);
-  const auto Asked = Entry.sent<Reconcile>(New);
+  const LinkId Old = m_Entry.connect("a", 2);
+  m_Entry.submit(1, true);
+  m_Entry.close(Old);
+  const LinkId New = m_Entry.connect("a", 2);
+  const auto Asked = m_Entry.sent<Reconcile>(New);
   BOOST_REQUIRE(Asked.size() == 1U);
   BOOST_TEST(Asked[0].m_Sequences == std::vector<Sequence>{1},
              boost::test_tools::per_element());
-  Entry.submit(2, true);
-  BOOST_TEST(Entry.dispatches(New).empty());
-  reply(Entry, New, 1, SequenceState::Running);
-  BOOST_TEST(Entry.dispatches(New).size() == 1U);
-  Entry.advance(3s);
-  Entry.finish(New, 1);
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Completed));
+  m_Entry.submit(2, true);
+  BOOST_TEST(m_Entry.dispatches(New).empty());
+  reply(m_Entry, New, 1, SequenceState::Running);
+  BOOST_TEST(m_Entry.dispatches(New).size() == 1U);
+  m_Entry.advance(3s);
+  m_Entry.finish(New, 1);
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Completed));
 }
 
 // Guards against refusing work that could safely be sent again.
 BOOST_AUTO_TEST_CASE(FencedTaskIsSentAgainUnderANewNumber) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  Entry.close(Old);
-  const LinkId New = Entry.connect("a");
-  reply(Entry, New, 1, SequenceState::Fenced);
-  const auto Again = Entry.dispatches(New);
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  m_Entry.close(Old);
+  const LinkId New = m_Entry.connect("a");
+  reply(m_Entry, New, 1, SequenceState::Fenced);
+  const auto Again = m_Entry.dispatches(New);
   BOOST_REQUIRE(Again.size() == 1U);
   BOOST_TEST(Again[0].m_Sequence == 2U);
   BOOST_TEST(Again[0].m_Floor == 2U);
@@ -78,16 +75,15 @@
 // Guards against a fence reply that is applied twice, or after the reply of
 // which it is a copy has let new tasks out.
 BOOST_AUTO_TEST_CASE(RepeatedReconcileReplyHasNoEffect) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  Entry.close(Old);
-  const LinkId New = Entry.connect("a");
-  reply(Entry, New, 1, SequenceState::Fenced);
-  reply(Entry, New, 1, SequenceState::Fenced);
-  reply(Entry, New, 2, SequenceState::Fenced);
-  BOOST_TEST(Entry.dispatches(New).size() == 1U);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  m_Entry.close(Old);
+  const LinkId New = m_Entry.connect("a");
+  reply(m_Entry, New, 1, SequenceState::Fenced);
+  reply(m_Entry, New, 1, SequenceState::Fenced);
+  reply(m_Entry, New, 2, SequenceState::Fenced);
+  BOOST_TEST(m_Entry.dispatches(New).size() == 1U);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
 }
 
 // Guards against treating "can't be told", or silence about a sequence, as "not
@@ -108,17 +104,16 @@
 
 // Guards against reconciling with an agent that has lost its record.
 BOOST_AUTO_TEST_CASE(NewWindowMakesOutcomesUnknown) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  Entry.close(Old);
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  m_Entry.close(Old);
   AgentHello Hello = EntryHarness::hello("a");
   Hello.m_WindowId = 2;
-  const LinkId New = Entry.connect(Hello);
-  BOOST_TEST(Entry.sent<Reconcile>(New).empty());
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
-  Entry.submit(2, true);
-  const auto Sent = Entry.dispatches(New);
+  const LinkId New = m_Entry.connect(Hello);
+  BOOST_TEST(m_Entry.sent<Reconcile>(New).empty());
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Unknown));
+  m_Entry.submit(2, true);
+  const auto Sent = m_Entry.dispatches(New);
   BOOST_REQUIRE(Sent.size() == 1U);
   BOOST_TEST(Sent[0].m_Sequence == 2U);
 }
@@ -126,34 +121,32 @@
 // Guards against numbers that a restarted agent has never seen the start of,
 // and against trusting its empty record.
 BOOST_AUTO_TEST_CASE(NewIncarnationMakesOutcomesUnknownAndRestartsNumbers) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
   AgentHello Hello = EntryHarness::hello("a");
   Hello.m_Incarnation = Incarnation{6};
-  const LinkId New = Entry.connect(Hello);
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
-  Entry.finish(Old, 1);
-  Entry.submit(2, true);
-  const auto Sent = Entry.dispatches(New);
+  const LinkId New = m_Entry.connect(Hello);
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Unknown));
+  m_Entry.finish(Old, 1);
+  m_Entry.submit(2, true);
+  const auto Sent = m_Entry.dispatches(New);
   BOOST_REQUIRE(Sent.size() == 1U);
   BOOST_TEST(Sent[0].m_Sequence == 1U);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
 }
 
 // Guards against reuse of a number that the agent's window has admitted.
 BOOST_AUTO_TEST_CASE(NumbersContinueWhenTheSameWindowReturnsLate) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  Entry.close(Old);
-  Entry.advance(1h);
-  const LinkId New = Entry.connect("a");
-  Entry.take<AnswerRequest>();
-  Entry.finish(New, 1);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
-  Entry.submit(2, true);
-  const auto Sent = Entry.dispatches(New);
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  m_Entry.close(Old);
+  m_Entry.advance(1h);
+  const LinkId New = m_Entry.connect("a");
+  m_Entry.take<AnswerRequest>();
+  m_Entry.finish(New, 1);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  m_Entry.submit(2, true);
+  const auto Sent = m_Entry.dispatches(New);
   BOOST_REQUIRE(Sent.size() == 1U);
   BOOST_TEST(Sent[0].m_Sequence == 2U);
   BOOST_TEST(Sent[0].m_Floor == 2U);
@@ -161,48 +154,46 @@
 
 // Guards against a second start when a copy of the dispatch was started.
 BOOST_AUTO_TEST_CASE(RefusalAsRepeatedDoesNotSettleTheTask) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 2);
-  Entry.submit(1, true);
-  BOOST_REQUIRE(Entry.dispatches(Agent).size() == 1U);
-  Entry.refuse(Agent, 1, RefusalReason::SequenceRepeated);
-  BOOST_TEST(Entry.dispatches(Agent).empty());
-  Entry.finish(Agent, 1);
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Completed));
+  const LinkId Agent = m_Entry.connect("a", 2);
+  m_Entry.submit(1, true);
+  BOOST_REQUIRE(m_Entry.dispatches(Agent).size() == 1U);
+  m_Entry.refuse(Agent, 1, RefusalReason::SequenceRepeated);
+  BOOST_TEST(m_Entry.dispatches(Agent).empty());
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Completed));
 }
 
 // Guards against a refusal that overtakes or follows the result.
 BOOST_AUTO_TEST_CASE(MessagesAboutSettledSequencesAreDropped) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 2);
-  const LinkId Other = Entry.connect("b", 2);
-  Entry.submit(1, true);
-  const LinkId Ran = Entry.dispatches(Agent).empty() ? Other : Agent;
-  Entry.dispatches(Other);
-  Entry.refuse(Ran == Agent ? Other : Agent, 1);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
-  Entry.finish(Ran, 1);
-  Entry.finish(Ran, 1);
-  Entry.refuse(Ran, 1, RefusalReason::DeadlinePassed);
-  Entry.finish(Ran, 99);
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Completed));
-  BOOST_TEST(Entry.dispatches(Agent).size() + Entry.dispatches(Other).size() ==
+  const LinkId Agent = m_Entry.connect("a", 2);
+  const LinkId Other = m_Entry.connect("b", 2);
+  m_Entry.submit(1, true);
+  const LinkId Ran = m_Entry.dispatches(Agent).empty() ? Other : Agent;
+  m_Entry.dispatches(Other);
+  m_Entry.refuse(Ran == Agent ? Other : Agent, 1);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  m_Entry.finish(Ran, 1);
+  m_Entry.finish(Ran, 1);
+  m_Entry.refuse(Ran, 1, RefusalReason::DeadlinePassed);
+  m_Entry.finish(Ran, 99);
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Completed));
+  BOOST_TEST(m_Entry.dispatches(Agent).size() +
+                 m_Entry.dispatches(Other).size() ==
              0U);
 }
 
 // Guards against messages of a replaced link that are taken for new ones.
 BOOST_AUTO_TEST_CASE(RefusalOnAReplacedLinkIsDropped) {
-  EntryHarness Entry;
-  const LinkId Old = Entry.connect("a");
-  Entry.submit(1, true);
-  const LinkId New = Entry.connect("a");
-  BOOST_TEST(Entry.take<CloseLink>().size() == 1U);
-  Entry.refuse(Old, 1, RefusalReason::DeadlinePassed);
-  reply(Entry, New, 1, SequenceState::Running);
-  BOOST_TEST(Entry.dispatches(New).empty());
-  Entry.close(Old);
-  Entry.advance(3s);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  const LinkId Old = m_Entry.connect("a");
+  m_Entry.submit(1, true);
+  const LinkId New = m_Entry.connect("a");
+  BOOST_TEST(m_Entry.take<CloseLink>().size() == 1U);
+  m_Entry.refuse(Old, 1, RefusalReason::DeadlinePassed);
+  reply(m_Entry, New, 1, SequenceState::Running);
+  BOOST_TEST(m_Entry.dispatches(New).empty());
+  m_Entry.close(Old);
+  m_Entry.advance(3s);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
 }
 
 // Guards against retries of a non-idempotent request, and against answering
@@ -224,26 +215,24 @@
 
 // Guards against retries without limit.
 BOOST_AUTO_TEST_CASE(IdempotentRequestIsAnsweredUnknownAfterThreeAttempts) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 4);
-  Entry.submit(1);
+  const LinkId Agent = m_Entry.connect("a", 4);
+  m_Entry.submit(1);
   for (Sequence Number = 1; Number <= 3; ++Number)
-    Entry.finish(Agent, Number, Outcome::Unknown);
-  BOOST_TEST(Entry.dispatches(Agent).size() == 3U);
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::Unknown));
+    m_Entry.finish(Agent, Number, Outcome::Unknown);
+  BOOST_TEST(m_Entry.dispatches(Agent).size() == 3U);
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::Unknown));
 }
 
 // Guards against a job whose task is moved after its outcome became unknown.
 BOOST_AUTO_TEST_CASE(UnknownTaskFailsItsJob) {
-  EntryHarness Entry;
-  const LinkId First = Entry.connect("a", 2);
-  Entry.submitJob(1, 2);
-  BOOST_REQUIRE(Entry.dispatches(First).size() == 2U);
-  const LinkId Other = Entry.connect("b", 2);
-  Entry.close(First);
-  Entry.advance(3s);
-  BOOST_TEST(Entry.dispatches(Other).empty());
-  const auto Answers = Entry.take<AnswerJob>();
+  const LinkId First = m_Entry.connect("a", 2);
+  m_Entry.submitJob(1, 2);
+  BOOST_REQUIRE(m_Entry.dispatches(First).size() == 2U);
+  const LinkId Other = m_Entry.connect("b", 2);
+  m_Entry.close(First);
+  m_Entry.advance(3s);
+  BOOST_TEST(m_Entry.dispatches(Other).empty());
+  const auto Answers = m_Entry.take<AnswerJob>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::Failed));
   BOOST_TEST(Answers[0].m_Tasks.empty());
@@ -251,25 +240,24 @@
 
 // Guards against dispatches that the agent's window can't remember.
 BOOST_AUTO_TEST_CASE(LongTaskHoldsNumbersWithinTheWindow) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 3);
-  Entry.submit(1);
-  Entry.dispatches(Agent);
+  const LinkId Agent = m_Entry.connect("a", 3);
+  m_Entry.submit(1);
+  m_Entry.dispatches(Agent);
   Sequence Newest = 1;
   for (std::uint64_t Number = 2; Number <= 1100; Number += 2) {
-    Entry.submit(Number);
-    Entry.submit(Number + 1);
-    for (const Dispatch &Each : Entry.dispatches(Agent)) {
+    m_Entry.submit(Number);
+    m_Entry.submit(Number + 1);
+    for (const Dispatch &Each : m_Entry.dispatches(Agent)) {
       Newest = Each.m_Sequence;
       if (Newest % 2 == 1)
-        Entry.finish(Agent, Newest - 1);
+        m_Entry.finish(Agent, Newest - 1);
     }
     if (Newest % 2 == 1)
-      Entry.finish(Agent, Newest);
+      m_Entry.finish(Agent, Newest);
   }
   BOOST_TEST(Newest == 1024U);
-  Entry.finish(Agent, 1);
-  const auto Next = Entry.dispatches(Agent);
+  m_Entry.finish(Agent, 1);
+  const auto Next = m_Entry.dispatches(Agent);
   BOOST_REQUIRE(!Next.empty());
   BOOST_TEST(Next[0].m_Sequence == 1025U);
   BOOST_TEST(Next[0].m_Floor == 1024U);
@@ -278,37 +266,36 @@
 // Guards against a second run under the caller's key, and against a key that
 // blocks a request that was not run.
 BOOST_AUTO_TEST_CASE(RepeatedKeyIsRefusedUnlessNothingRan) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a");
-  const auto Submit = [&Entry](std::uint64_t Number) {
-    RequestArrived Event = Entry.request(Number);
+  const LinkId Agent = m_Entry.connect("a");
+  const auto Submit = [this](std::uint64_t Number) {
+    RequestArrived Event = m_Entry.request(Number);
     Event.m_NonIdempotent = true;
     Event.m_Key = "permit-7";
-    Entry.send(Event);
+    m_Entry.send(Event);
   };
-  const auto Wait = [&Entry, Agent](int Minutes) {
+  const auto Wait = [this, Agent](int Minutes) {
     for (int Third = 0; Third < 3 * Minutes; ++Third) {
-      Entry.advance(20s);
-      Entry.receive(Agent, Heartbeat{1});
+      m_Entry.advance(20s);
+      m_Entry.receive(Agent, Heartbeat{1});
     }
   };
   Submit(1);
   Submit(2);
-  BOOST_TEST((onlyAnswer(Entry).m_Reason == RefusalReason::RepeatedKey));
-  Entry.finish(Agent, 1);
-  Entry.take<AnswerRequest>();
+  BOOST_TEST((onlyAnswer(m_Entry).m_Reason == RefusalReason::RepeatedKey));
+  m_Entry.finish(Agent, 1);
+  m_Entry.take<AnswerRequest>();
   Wait(9);
   Submit(3);
-  BOOST_TEST((onlyAnswer(Entry).m_Reason == RefusalReason::RepeatedKey));
+  BOOST_TEST((onlyAnswer(m_Entry).m_Reason == RefusalReason::RepeatedKey));
   Wait(1);
   Submit(4);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
-  Entry.receive(Agent, AgentStatus{AgentState::Leaving, 1, 0});
-  Entry.refuse(Agent, 2, RefusalReason::Leaving);
-  Entry.send(CancelRequested{RequestId{1, 4}});
-  BOOST_TEST((onlyAnswer(Entry).m_Outcome == Outcome::NotRun));
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  m_Entry.receive(Agent, AgentStatus{AgentState::Leaving, 1, 0});
+  m_Entry.refuse(Agent, 2, RefusalReason::Leaving);
+  m_Entry.send(CancelRequested{RequestId{1, 4}});
+  BOOST_TEST((onlyAnswer(m_Entry).m_Outcome == Outcome::NotRun));
   Submit(5);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryCoreTest.cpp
+++ b/tests/unit/EntryCoreTest.cpp
@@ -6,19 +6,18 @@
 using namespace cyclamencroft;
 using namespace std::chrono_literals;
 
-BOOST_AUTO_TEST_SUITE(EntryCore)
+BOOST_FIXTURE_TEST_SUITE(EntryCore, EntryCase)
 
 // Guards against answers that reach the wrong caller or lose their body.
 BOOST_AUTO_TEST_CASE(RequestGetsTheResultOfItsOwnTask) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 2);
-  Entry.submit(1);
-  Entry.submit(2);
-  const auto Sent = Entry.dispatches(Agent);
+  const LinkId Agent = m_Entry.connect("a", 2);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  const auto Sent = m_Entry.dispatches(Agent);
   BOOST_REQUIRE(Sent.size() == 2U);
   BOOST_TEST(bytesOf(Sent[1].m_Body) == "request 2");
-  Entry.finish(Agent, Sent[1].m_Sequence);
-  const auto Answers = Entry.take<AnswerRequest>();
+  m_Entry.finish(Agent, Sent[1].m_Sequence);
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Caller == CallerId{2}));
   BOOST_TEST((Answers[0].m_Outcome == Outcome::Completed));
@@ -28,16 +27,15 @@
 
 // Guards against partial job answers and answers in the order of completion.
 BOOST_AUTO_TEST_CASE(JobAnswersOnceWithAllTasksInOrder) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 3);
-  Entry.submitJob(1, 3);
-  const auto Sent = Entry.dispatches(Agent);
+  const LinkId Agent = m_Entry.connect("a", 3);
+  m_Entry.submitJob(1, 3);
+  const auto Sent = m_Entry.dispatches(Agent);
   BOOST_REQUIRE(Sent.size() == 3U);
-  Entry.finish(Agent, 3);
-  Entry.finish(Agent, 1);
-  BOOST_TEST(Entry.take<AnswerJob>().empty());
-  Entry.finish(Agent, 2);
-  const auto Answers = Entry.take<AnswerJob>();
+  m_Entry.finish(Agent, 3);
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST(m_Entry.take<AnswerJob>().empty());
+  m_Entry.finish(Agent, 2);
+  const auto Answers = m_Entry.take<AnswerJob>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_REQUIRE(Answers[0].m_Tasks.size() == 3U);
   for (const Dispatch &Each : Sent)
@@ -47,13 +45,12 @@
 
 // Guards against refused tasks that lose their place or are not sent again.
 BOOST_AUTO_TEST_CASE(RefusedTaskReturnsToTheHeadOfTheQueue) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submit(2);
-  BOOST_REQUIRE(Entry.dispatches(Agent).size() == 1U);
-  Entry.refuse(Agent, 1, RefusalReason::DeadlinePassed);
-  const auto Again = Entry.dispatches(Agent);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  BOOST_REQUIRE(m_Entry.dispatches(Agent).size() == 1U);
+  m_Entry.refuse(Agent, 1, RefusalReason::DeadlinePassed);
+  const auto Again = m_Entry.dispatches(Agent);
   BOOST_REQUIRE(Again.size() == 1U);
   BOOST_TEST((Again[0].m_Request == RequestId{1, 1}));
   BOOST_TEST(Again[0].m_Sequence == 2U);
@@ -61,14 +58,13 @@
 
 // Guards against a task that is sent and refused without end.
 BOOST_AUTO_TEST_CASE(TaskRefusedTooOftenIsAnsweredNotRun) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
   for (Sequence Number = 1; Number <= 16; ++Number) {
-    BOOST_TEST(Entry.take<AnswerRequest>().empty());
-    Entry.refuse(Agent, Number, RefusalReason::DeadlinePassed);
+    BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+    m_Entry.refuse(Agent, Number, RefusalReason::DeadlinePassed);
   }
-  const auto Answers = Entry.take<AnswerRequest>();
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::NotRun));
   BOOST_TEST((Answers[0].m_Reason == RefusalReason::DeadlinePassed));
@@ -77,79 +73,75 @@
 // Guards against giving up the task at the head of the queue long before its
 // deadline because other entries use all slots for a while.
 BOOST_AUTO_TEST_CASE(BusyAgentsDoNotUseUpTheRefusalLimit) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  RequestArrived New = Entry.request(1);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  RequestArrived New = m_Entry.request(1);
   New.m_Deadline = 100s;
-  Entry.send(New);
+  m_Entry.send(New);
   Sequence Newest = 0;
   for (int Round = 0; Round < 30; ++Round) {
-    for (const Dispatch &Each : Entry.dispatches(Agent))
+    for (const Dispatch &Each : m_Entry.dispatches(Agent))
       Newest = Each.m_Sequence;
-    Entry.refuse(Agent, Newest);
-    Entry.advance(2s);
+    m_Entry.refuse(Agent, Newest);
+    m_Entry.advance(2s);
   }
   BOOST_TEST(Newest > 20U);
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
 }
 
 // Guards against jobs that go on after they failed, and against a cancellation
 // for each task.
 BOOST_AUTO_TEST_CASE(FirstFailureFailsTheJobAndCancelsOncePerAgent) {
-  EntryHarness Entry;
-  const LinkId A = Entry.connect("a", 3);
-  const LinkId B = Entry.connect("b", 3);
-  Entry.submitJob(1, 8);
-  BOOST_TEST(Entry.dispatches(A).size() == 3U);
-  BOOST_TEST(Entry.dispatches(B).size() == 3U);
-  Entry.finish(A, 2, Outcome::Failed);
-  const auto Answers = Entry.take<AnswerJob>();
+  const LinkId A = m_Entry.connect("a", 3);
+  const LinkId B = m_Entry.connect("b", 3);
+  m_Entry.submitJob(1, 8);
+  BOOST_TEST(m_Entry.dispatches(A).size() == 3U);
+  BOOST_TEST(m_Entry.dispatches(B).size() == 3U);
+  m_Entry.finish(A, 2, Outcome::Failed);
+  const auto Answers = m_Entry.take<AnswerJob>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::Failed));
   BOOST_TEST(Answers[0].m_Tasks.empty());
-  BOOST_TEST(Entry.sent<CancelTasks>(A).size() == 1U);
-  BOOST_TEST(Entry.sent<CancelTasks>(B).size() == 1U);
-  Entry.finish(A, 1);
-  Entry.finish(B, 1);
-  BOOST_TEST(Entry.dispatches(A).size() + Entry.dispatches(B).size() == 0U);
-  BOOST_TEST(Entry.take<AnswerJob>().empty());
+  BOOST_TEST(m_Entry.sent<CancelTasks>(A).size() == 1U);
+  BOOST_TEST(m_Entry.sent<CancelTasks>(B).size() == 1U);
+  m_Entry.finish(A, 1);
+  m_Entry.finish(B, 1);
+  BOOST_TEST(m_Entry.dispatches(A).size() + m_Entry.dispatches(B).size() == 0U);
+  BOOST_TEST(m_Entry.take<AnswerJob>().empty());
 }
 
 // Guards against "not run" for work that may have run, and against starts after
 // a cancellation.
 BOOST_AUTO_TEST_CASE(CancellationTellsWhetherTheRequestMayHaveRun) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submit(2);
-  Entry.dispatches(Agent);
-  Entry.send(CancelRequested{RequestId{1, 2}});
-  Entry.send(CancelRequested{RequestId{1, 1}});
-  const auto Answers = Entry.take<AnswerRequest>();
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  m_Entry.dispatches(Agent);
+  m_Entry.send(CancelRequested{RequestId{1, 2}});
+  m_Entry.send(CancelRequested{RequestId{1, 1}});
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 2U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::NotRun));
   BOOST_TEST((Answers[0].m_Reason == RefusalReason::Cancelled));
   BOOST_TEST((Answers[1].m_Outcome == Outcome::Cancelled));
-  BOOST_TEST(Entry.sent<CancelTasks>(Agent).size() == 1U);
-  Entry.refuse(Agent, 1, RefusalReason::Cancelled);
-  BOOST_TEST(Entry.dispatches(Agent).empty());
+  BOOST_TEST(m_Entry.sent<CancelTasks>(Agent).size() == 1U);
+  m_Entry.refuse(Agent, 1, RefusalReason::Cancelled);
+  BOOST_TEST(m_Entry.dispatches(Agent).empty());
 }
 
 // Guards against answers to closed connections and work for nobody.
 BOOST_AUTO_TEST_CASE(WorkOfACallerThatIsGoneIsCancelledSilently) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submitJob(2, 3);
-  Entry.dispatches(Agent);
-  Entry.send(CallerGone{CallerId{1}});
-  Entry.send(CallerGone{CallerId{2}});
-  Entry.finish(Agent, 1);
-  BOOST_TEST(Entry.sent<CancelTasks>(Agent).size() == 1U);
-  BOOST_TEST(Entry.dispatches(Agent).empty());
-  BOOST_TEST(Entry.take<AnswerRequest>().empty());
-  BOOST_TEST(Entry.take<AnswerJob>().empty());
-  BOOST_TEST(Entry.status().m_Queued == 0U);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submitJob(2, 3);
+  m_Entry.dispatches(Agent);
+  m_Entry.send(CallerGone{CallerId{1}});
+  m_Entry.send(CallerGone{CallerId{2}});
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST(m_Entry.sent<CancelTasks>(Agent).size() == 1U);
+  BOOST_TEST(m_Entry.dispatches(Agent).empty());
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  BOOST_TEST(m_Entry.take<AnswerJob>().empty());
+  BOOST_TEST(m_Entry.status().m_Queued == 0U);
 }
 
 // Guards against dispatches after the deadline and against "not run" for a
@@ -177,46 +169,43 @@
 
 // Guards against starts of overdue work when ticks come late.
 BOOST_AUTO_TEST_CASE(OverdueRequestIsNotDispatchedBeforeALateTick) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submit(2);
-  Entry.dispatches(Agent);
-  Entry.skip(10s);
-  Entry.finish(Agent, 1);
-  BOOST_TEST(Entry.dispatches(Agent).empty());
-  const auto Answers = Entry.take<AnswerRequest>();
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  m_Entry.dispatches(Agent);
+  m_Entry.skip(10s);
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST(m_Entry.dispatches(Agent).empty());
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 2U);
   BOOST_TEST((Answers[1].m_Outcome == Outcome::NotRun));
 }
 
 // Guards against a shutdown that interrupts work or never ends.
 BOOST_AUTO_TEST_CASE(ShutdownCompletesAcceptedWorkThenSaysGoodbye) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submit(2);
-  Entry.send(ShutdownRequested{});
-  BOOST_TEST(!Entry.status().m_Ready);
-  Entry.finish(Agent, 1);
-  BOOST_TEST(Entry.take<Drained>().empty());
-  Entry.finish(Agent, 2);
-  BOOST_TEST(Entry.take<AnswerRequest>().size() == 2U);
-  BOOST_TEST(Entry.sent<Goodbye>(Agent).size() == 1U);
-  Entry.send(Tick{});
-  BOOST_TEST(Entry.take<Drained>().size() == 1U);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  m_Entry.send(ShutdownRequested{});
+  BOOST_TEST(!m_Entry.status().m_Ready);
+  m_Entry.finish(Agent, 1);
+  BOOST_TEST(m_Entry.take<Drained>().empty());
+  m_Entry.finish(Agent, 2);
+  BOOST_TEST(m_Entry.take<AnswerRequest>().size() == 2U);
+  BOOST_TEST(m_Entry.sent<Goodbye>(Agent).size() == 1U);
+  m_Entry.send(Tick{});
+  BOOST_TEST(m_Entry.take<Drained>().size() == 1U);
 }
 
 // Guards against spans that don't join up with those of the agent.
 BOOST_AUTO_TEST_CASE(AttemptSpanIsTheParentInTheDispatch) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  RequestArrived New = Entry.request(1);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  RequestArrived New = m_Entry.request(1);
   New.m_Trace = TraceContext{RequestId{8, 9}, 42};
-  Entry.send(New);
-  const auto Sent = Entry.dispatches(Agent);
-  Entry.finish(Agent, 1);
-  const auto Spans = Entry.take<SpanEnded>();
+  m_Entry.send(New);
+  const auto Sent = m_Entry.dispatches(Agent);
+  m_Entry.finish(Agent, 1);
+  const auto Spans = m_Entry.take<SpanEnded>();
   BOOST_REQUIRE(Spans.size() == 2U);
   BOOST_TEST(Spans[0].m_Step == "dispatch");
   BOOST_TEST(Spans[0].m_Peer == "a");
@@ -270,14 +259,13 @@
 // Guards against two attempts at one agent, which a cancellation by request id
 // could not tell apart.
 BOOST_AUTO_TEST_CASE(HedgeNeedsASecondAgent) {
-  EntryHarness Entry;
-  Entry.adopt(2, "hedged");
-  const LinkId Agent = Entry.connect("a", 4);
-  Entry.submit(1);
-  Entry.finish(Agent, 1);
-  Entry.submit(2);
-  Entry.advance(900ms);
-  BOOST_TEST(Entry.dispatches(Agent).size() == 2U);
+  m_Entry.adopt(2, "hedged");
+  const LinkId Agent = m_Entry.connect("a", 4);
+  m_Entry.submit(1);
+  m_Entry.finish(Agent, 1);
+  m_Entry.submit(2);
+  m_Entry.advance(900ms);
+  BOOST_TEST(m_Entry.dispatches(Agent).size() == 2U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryHarness.h
+++ b/tests/unit/EntryHarness.h
@@ -96,4 +96,9 @@
   std::uint64_t m_NextLink = 1;
 };
 
+/// Fixture of suites that start with a fresh entry.
+struct EntryCase {
+  EntryHarness m_Entry;
+};
+
 } // namespace cyclamencroft
--- a/tests/unit/EntryPeersTest.cpp
+++ b/tests/unit/EntryPeersTest.cpp
@@ -6,66 +6,62 @@
 using namespace cyclamencroft;
 using namespace std::chrono_literals;
 
-BOOST_AUTO_TEST_SUITE(EntryPeers)
+BOOST_FIXTURE_TEST_SUITE(EntryPeers, EntryCase)
 
 // Guards against a late or repeated adoption that reverts a change.
 BOOST_AUTO_TEST_CASE(LowerVersionIsNeverAdopted) {
-  EntryHarness Entry;
-  Entry.adopt(5, "hedged");
-  Entry.adopt(4, "ordinary");
-  Entry.adopt(5, "ordinary");
-  BOOST_TEST(Entry.status().m_ConfigVersion == 5U);
-  BOOST_TEST(Entry.status().m_Preset == "hedged");
+  m_Entry.adopt(5, "hedged");
+  m_Entry.adopt(4, "ordinary");
+  m_Entry.adopt(5, "ordinary");
+  BOOST_TEST(m_Entry.status().m_ConfigVersion == 5U);
+  BOOST_TEST(m_Entry.status().m_Preset == "hedged");
 }
 
 // Guards against peers that miss a version, and against transfers to peers that
 // have it.
 BOOST_AUTO_TEST_CASE(PeersThatAreBehindGetTheConfiguration) {
-  EntryHarness Entry;
-  const LinkId Behind = Entry.connectPeer("entry-brest-1", 0);
-  const LinkId Current = Entry.connectPeer("entry-brest-2", 1);
-  BOOST_TEST(Entry.sent<EntryHello>(Behind).size() == 1U);
-  const auto Transfers = Entry.sent<ConfigTransfer>(Behind);
+  const LinkId Behind = m_Entry.connectPeer("entry-brest-1", 0);
+  const LinkId Current = m_Entry.connectPeer("entry-brest-2", 1);
+  BOOST_TEST(m_Entry.sent<EntryHello>(Behind).size() == 1U);
+  const auto Transfers = m_Entry.sent<ConfigTransfer>(Behind);
   BOOST_REQUIRE(Transfers.size() == 1U);
   BOOST_TEST(Transfers[0].m_Document == "document 1");
-  BOOST_TEST(Entry.sent<ConfigTransfer>(Current).empty());
-  Entry.receive(Current, Heartbeat{2});
-  Entry.adopt(2);
-  BOOST_TEST(Entry.sent<ConfigTransfer>(Behind).size() == 1U);
-  BOOST_TEST(Entry.sent<ConfigTransfer>(Current).empty());
+  BOOST_TEST(m_Entry.sent<ConfigTransfer>(Current).empty());
+  m_Entry.receive(Current, Heartbeat{2});
+  m_Entry.adopt(2);
+  BOOST_TEST(m_Entry.sent<ConfigTransfer>(Behind).size() == 1U);
+  BOOST_TEST(m_Entry.sent<ConfigTransfer>(Current).empty());
 }
 
 // Guards against an entry that serves an old configuration for longer than 7 s
 // after it heard of a newer one, and against one that stops too early.
 BOOST_AUTO_TEST_CASE(EntryBehindForSevenSecondsTakesNoWork) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 2);
-  Entry.receive(Agent, Heartbeat{3});
-  Entry.advance(6900ms);
-  BOOST_TEST(Entry.status().m_Ready);
-  Entry.advance(100ms);
-  BOOST_TEST(!Entry.status().m_Ready);
-  Entry.submit(1);
-  const auto Answers = Entry.take<AnswerRequest>();
+  const LinkId Agent = m_Entry.connect("a", 2);
+  m_Entry.receive(Agent, Heartbeat{3});
+  m_Entry.advance(6900ms);
+  BOOST_TEST(m_Entry.status().m_Ready);
+  m_Entry.advance(100ms);
+  BOOST_TEST(!m_Entry.status().m_Ready);
+  m_Entry.submit(1);
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Reason == RefusalReason::NoConfiguration));
-  Entry.adopt(3);
-  BOOST_TEST(Entry.status().m_Ready);
+  m_Entry.adopt(3);
+  BOOST_TEST(m_Entry.status().m_Ready);
 }
 
 // Guards against a stream of ever newer versions that hides that none of them
 // arrives.
 BOOST_AUTO_TEST_CASE(NewerNewsDoesNotExtendTheLimit) {
-  EntryHarness Entry;
-  const LinkId Peer = Entry.connectPeer("entry-brest-1", 2);
-  Entry.advance(4s);
-  Entry.receive(Peer, Heartbeat{3});
-  Entry.advance(2s);
-  Entry.adopt(2);
-  Entry.advance(2s);
-  BOOST_TEST(Entry.status().m_Ready);
-  Entry.advance(3s);
-  BOOST_TEST(!Entry.status().m_Ready);
+  const LinkId Peer = m_Entry.connectPeer("entry-brest-1", 2);
+  m_Entry.advance(4s);
+  m_Entry.receive(Peer, Heartbeat{3});
+  m_Entry.advance(2s);
+  m_Entry.adopt(2);
+  m_Entry.advance(2s);
+  BOOST_TEST(m_Entry.status().m_Ready);
+  m_Entry.advance(3s);
+  BOOST_TEST(!m_Entry.status().m_Ready);
 }
 
 // Guards against an entry that serves without knowing the configuration.
@@ -83,25 +79,23 @@
 
 // Guards against peers that fall back to even shares for want of reports.
 BOOST_AUTO_TEST_CASE(PeersGetAQuotaReportEachSecond) {
-  EntryHarness Entry;
-  const LinkId Peer = Entry.connectPeer("entry-brest-1", 1);
-  Entry.advance(3s);
-  BOOST_TEST(Entry.sent<QuotaReport>(Peer).size() == 3U);
-  Entry.close(Peer);
-  Entry.advance(3s);
-  BOOST_TEST(Entry.sent<QuotaReport>(Peer).empty());
+  const LinkId Peer = m_Entry.connectPeer("entry-brest-1", 1);
+  m_Entry.advance(3s);
+  BOOST_TEST(m_Entry.sent<QuotaReport>(Peer).size() == 3U);
+  m_Entry.close(Peer);
+  m_Entry.advance(3s);
+  BOOST_TEST(m_Entry.sent<QuotaReport>(Peer).empty());
 }
 
 // Guards against shares of slots for links instead of entries.
 BOOST_AUTO_TEST_CASE(TwoLinksToOnePeerCountOnce) {
-  EntryHarness Entry;
-  Entry.connectPeer("entry-brest-1", 1);
-  const LinkId Second = Entry.connectPeer("entry-brest-1", 1);
-  auto Hello = Entry.sent<EntryHello>(Second);
+  m_Entry.connectPeer("entry-brest-1", 1);
+  const LinkId Second = m_Entry.connectPeer("entry-brest-1", 1);
+  auto Hello = m_Entry.sent<EntryHello>(Second);
   BOOST_REQUIRE(Hello.size() == 1U);
   BOOST_TEST(Hello[0].m_Entries == 2U);
-  Entry.close(Second);
-  Hello = Entry.sent<EntryHello>(Entry.connect("a"));
+  m_Entry.close(Second);
+  Hello = m_Entry.sent<EntryHello>(m_Entry.connect("a"));
   BOOST_REQUIRE(Hello.size() == 1U);
   BOOST_TEST(Hello[0].m_Entries == 2U);
 }
--- a/tests/unit/EntryRefusalTest.cpp
+++ b/tests/unit/EntryRefusalTest.cpp
@@ -13,18 +13,17 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(EntryCore)
+BOOST_FIXTURE_TEST_SUITE(EntryCore, EntryCase)
 
 // Guards against tasks that lose their place when an agent had no free slot.
 BOOST_AUTO_TEST_CASE(TaskRefusedForWantOfASlotIsTriedFirst) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  Entry.submit(1);
-  Entry.submit(2);
-  BOOST_REQUIRE(Entry.dispatches(Agent).size() == 1U);
-  Entry.refuse(Agent, 1);
-  Entry.advance(RouterWait);
-  const auto Again = Entry.dispatches(Agent);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  m_Entry.submit(1);
+  m_Entry.submit(2);
+  BOOST_REQUIRE(m_Entry.dispatches(Agent).size() == 1U);
+  m_Entry.refuse(Agent, 1);
+  m_Entry.advance(RouterWait);
+  const auto Again = m_Entry.dispatches(Agent);
   BOOST_REQUIRE(Again.size() == 1U);
   BOOST_TEST((Again[0].m_Request == RequestId{1, 1}));
   BOOST_TEST(Again[0].m_Sequence == 2U);
@@ -33,25 +32,24 @@
 // Guards against a task that is sent to a full agent without end or at a high
 // rate, and against an answer that leaves open whether it ran.
 BOOST_AUTO_TEST_CASE(TaskThatMeetsOnlyFullAgentsIsAnsweredNotRunAtItsDeadline) {
-  EntryHarness Entry;
-  const LinkId Agent = Entry.connect("a", 1);
-  RequestArrived Request = Entry.request(1);
+  const LinkId Agent = m_Entry.connect("a", 1);
+  RequestArrived Request = m_Entry.request(1);
   Request.m_Deadline = 60s;
-  Entry.send(Request);
+  m_Entry.send(Request);
   Sequence Last = 0;
   for (int Second = 0; Second < 60; ++Second) {
-    BOOST_TEST(Entry.take<AnswerRequest>().empty());
-    for (const Dispatch &Each : Entry.dispatches(Agent))
-      Entry.refuse(Agent, Last = Each.m_Sequence);
-    Entry.advance(1s);
+    BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+    for (const Dispatch &Each : m_Entry.dispatches(Agent))
+      m_Entry.refuse(Agent, Last = Each.m_Sequence);
+    m_Entry.advance(1s);
   }
-  const auto Answers = Entry.take<AnswerRequest>();
+  const auto Answers = m_Entry.take<AnswerRequest>();
   BOOST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST((Answers[0].m_Outcome == Outcome::NotRun));
   // 60 s over the wait of 1.6 s, and four shorter waits at the start.
   BOOST_TEST(Last >= 16U);
   BOOST_TEST(Last <= 42U);
-  BOOST_TEST(Entry.dispatches(Agent).empty());
+  BOOST_TEST(m_Entry.dispatches(Agent).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/RouterTest.cpp
+++ b/tests/unit/RouterTest.cpp
@@ -78,40 +78,41 @@
   }
 };
 
+struct RoutingCase {
+  Routing m_R;
+};
+
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(Routes)
+BOOST_FIXTURE_TEST_SUITE(Routes, RoutingCase)
 
 // Guards against tasks sent to agents that are known to be full.
 BOOST_AUTO_TEST_CASE(NoTaskIsSentBeyondTheSlots) {
-  Routing R;
   for (int I = 0; I < 11; ++I)
-    R.add("w" + std::to_string(I));
-  BOOST_TEST(R.dispatchAll() == 88u);
-  BOOST_TEST((R.m_Why == NoRoute::AllBusy));
+    m_R.add("w" + std::to_string(I));
+  BOOST_TEST(m_R.dispatchAll() == 88u);
+  BOOST_TEST((m_R.m_Why == NoRoute::AllBusy));
 }
 
 // Guards against tasks lost in a wait although an agent has reported a free
 // slot.
 BOOST_AUTO_TEST_CASE(ResultFreesASlotAtOnce) {
-  Routing R;
-  const AgentIndex Agent = R.add("w1", 1);
-  BOOST_TEST(R.dispatchAll() == 1u);
-  R.m_Now += 50ms;
-  R.finish(Agent);
-  BOOST_TEST(R.choose().has_value());
+  const AgentIndex Agent = m_R.add("w1", 1);
+  BOOST_TEST(m_R.dispatchAll() == 1u);
+  m_R.m_Now += 50ms;
+  m_R.finish(Agent);
+  BOOST_TEST(m_R.choose().has_value());
 }
 
 // Guards against two entries that both hold all slots of one agent in their
 // shares: the shares of three entries must not add up to more than the slots.
 BOOST_AUTO_TEST_CASE(OwnShareIsUsedBeforeSlotsAreBorrowed) {
-  Routing R;
-  R.m_Router.setEntries(3);
+  m_R.m_Router.setEntries(3);
   std::map<AgentIndex, std::uint32_t> Own;
   for (int I = 0; I < 12; ++I)
-    R.add("w" + std::to_string(I));
+    m_R.add("w" + std::to_string(I));
   for (int I = 0; I < 32; ++I)
-    ++Own[R.dispatch().value()];
+    ++Own[m_R.dispatch().value()];
   for (const auto &[Agent, Count] : Own)
     BOOST_TEST(Count <= 3u);
   BOOST_TEST(Own.size() == 12u);
@@ -120,11 +121,10 @@
 // Guards against an entry with a long job that borrows every slot of every
 // agent, so that requests at other entries find none.
 BOOST_AUTO_TEST_CASE(BorrowingLeavesSomeSlotsFree) {
-  Routing R;
-  R.m_Router.setEntries(3);
+  m_R.m_Router.setEntries(3);
   for (int I = 0; I < 40; ++I)
-    R.add("w" + std::to_string(I));
-  const std::uint32_t Taken = R.dispatchAll();
+    m_R.add("w" + std::to_string(I));
+  const std::uint32_t Taken = m_R.dispatchAll();
   BOOST_TEST(Taken < 320u);
   BOOST_TEST(Taken > 300u);
 }
@@ -132,33 +132,31 @@
 // Guards against an entry stuck behind a report of full slots: agents send
 // nothing to an entry that has no task there.
 BOOST_AUTO_TEST_CASE(StaleReportIsTriedAgain) {
-  Routing R;
   AgentHello Hello = hello("w1");
   Hello.m_Running = 8;
-  const AgentIndex Agent = R.m_Router.addAgent(Hello, R.m_Now);
-  BOOST_TEST(!R.choose().has_value());
-  const TimePoint Due = R.m_Router.nextChange();
-  BOOST_TEST((Due - R.m_Now == 100ms));
-  R.m_Now = Due;
-  BOOST_TEST((R.dispatch() == Agent));
-  BOOST_TEST(!R.choose().has_value());
+  const AgentIndex Agent = m_R.m_Router.addAgent(Hello, m_R.m_Now);
+  BOOST_TEST(!m_R.choose().has_value());
+  const TimePoint Due = m_R.m_Router.nextChange();
+  BOOST_TEST((Due - m_R.m_Now == 100ms));
+  m_R.m_Now = Due;
+  BOOST_TEST((m_R.dispatch() == Agent));
+  BOOST_TEST(!m_R.choose().has_value());
 }
 
 // Guards against a stream of refused trials at an agent that stays full; each
 // is two wasted messages.
 BOOST_AUTO_TEST_CASE(TrialsAtAFullAgentBecomeRarer) {
-  Routing R;
   AgentHello Hello = hello("w1");
   Hello.m_Running = 8;
-  const AgentIndex Agent = R.m_Router.addAgent(Hello, R.m_Now);
+  const AgentIndex Agent = m_R.m_Router.addAgent(Hello, m_R.m_Now);
   int Trials = 0;
-  const TimePoint End = R.m_Now + 10s;
-  while (R.m_Now < End) {
-    R.m_Now = R.m_Router.nextChange();
-    if (!R.dispatch())
+  const TimePoint End = m_R.m_Now + 10s;
+  while (m_R.m_Now < End) {
+    m_R.m_Now = m_R.m_Router.nextChange();
+    if (!m_R.dispatch())
       continue;
     ++Trials;
-    R.refuse(Agent, 8);
+    m_R.refuse(Agent, 8);
   }
   BOOST_TEST(Trials >= 6);
   BOOST_TEST(Trials <= 10);
@@ -167,140 +165,130 @@
 // Guards against a loop of dispatch and refusal when the agent refuses although
 // its running count is below its slots (connections used up).
 BOOST_AUTO_TEST_CASE(RefusalForLackOfRoomIsNotRepeatedAtOnce) {
-  Routing R;
-  const AgentIndex Agent = R.add("w1");
-  R.dispatch();
-  R.refuse(Agent, 2);
-  BOOST_TEST(!R.choose().has_value());
+  const AgentIndex Agent = m_R.add("w1");
+  m_R.dispatch();
+  m_R.refuse(Agent, 2);
+  BOOST_TEST(!m_R.choose().has_value());
 }
 
 // Guards against bursts on stale reports when other entries fill the slots:
 // each refused task is two wasted messages.
 BOOST_AUTO_TEST_CASE(BurstAfterARefusalTriesOneTaskAnAgent) {
-  Routing R;
-  const std::vector<AgentIndex> Agents = R.addMany(4);
-  R.m_Now += 200ms;
-  const AgentIndex Full = R.dispatch().value();
-  R.m_Now += 1ms;
-  R.refuse(Full, 8);
-  BOOST_TEST(R.dispatchAll() == 3u);
-  BOOST_TEST((R.m_Router.nextChange() == R.m_Now + 4ms));
-  R.m_Now += 4ms;
-  BOOST_TEST(R.dispatchAll() == 3u);
-  R.m_Now += 2s;
-  BOOST_TEST(R.dispatchAll() == 26u);
+  const std::vector<AgentIndex> Agents = m_R.addMany(4);
+  m_R.m_Now += 200ms;
+  const AgentIndex Full = m_R.dispatch().value();
+  m_R.m_Now += 1ms;
+  m_R.refuse(Full, 8);
+  BOOST_TEST(m_R.dispatchAll() == 3u);
+  BOOST_TEST((m_R.m_Router.nextChange() == m_R.m_Now + 4ms));
+  m_R.m_Now += 4ms;
+  BOOST_TEST(m_R.dispatchAll() == 3u);
+  m_R.m_Now += 2s;
+  BOOST_TEST(m_R.dispatchAll() == 26u);
 }
 
 // Guards against caution without cause: an idle system fills all slots at once.
 BOOST_AUTO_TEST_CASE(BurstWithoutRefusalsFillsAllSlots) {
-  Routing R;
-  R.addMany(4);
-  R.m_Now += 10s;
-  BOOST_TEST(R.dispatchAll() == 32u);
+  m_R.addMany(4);
+  m_R.m_Now += 10s;
+  BOOST_TEST(m_R.dispatchAll() == 32u);
 }
 
 // Guards against overload of one agent by dispatches that its last report can't
 // include yet.
 BOOST_AUTO_TEST_CASE(DispatchesUnderWayCountBesidesTheReport) {
-  Routing R;
-  const AgentIndex Agent = R.add("w1");
+  const AgentIndex Agent = m_R.add("w1");
   for (int I = 0; I < 4; ++I)
-    R.dispatch();
-  R.m_Now += 500us;
+    m_R.dispatch();
+  m_R.m_Now += 500us;
   // The agent had 6 foreign tasks and one of ours; three are under way.
-  R.finish(Agent, Outcome::Completed, 100us, 6);
-  BOOST_TEST(!R.choose().has_value());
+  m_R.finish(Agent, Outcome::Completed, 100us, 6);
+  BOOST_TEST(!m_R.choose().has_value());
 }
 
 // Guards against slow agents that get as many tasks as the others.
 BOOST_AUTO_TEST_CASE(StragglersGetFewerTasks) {
-  Routing R;
-  const std::vector<AgentIndex> Agents = R.addMany(4);
+  const std::vector<AgentIndex> Agents = m_R.addMany(4);
   for (int Round = 0; Round < 20; ++Round)
     for (std::size_t I = 0; I < Agents.size(); ++I) {
-      R.m_Router.dispatched(Agents[I], R.m_Now);
-      R.finish(Agents[I], Outcome::Completed, I == 0 ? 1s : 100ms);
+      m_R.m_Router.dispatched(Agents[I], m_R.m_Now);
+      m_R.finish(Agents[I], Outcome::Completed, I == 0 ? 1s : 100ms);
     }
   std::map<AgentIndex, int> Chosen;
   for (int I = 0; I < 16; ++I)
-    ++Chosen[R.dispatch().value()];
+    ++Chosen[m_R.dispatch().value()];
   BOOST_TEST(Chosen[Agents[0]] <= 1);
 }
 
 // Guards against an agent that fails every task at once and thereby attracts
 // all tasks as the least loaded one.
 BOOST_AUTO_TEST_CASE(AgentThatFailsEverythingIsEjected) {
-  Routing R;
-  const AgentIndex Bad = R.add("bad");
-  R.add("w1");
-  R.add("w2");
-  R.failTimes(Bad, 5);
+  const AgentIndex Bad = m_R.add("bad");
+  m_R.add("w1");
+  m_R.add("w2");
+  m_R.failTimes(Bad, 5);
   for (int I = 0; I < 16; ++I)
-    BOOST_TEST((R.dispatch() != Bad));
-  BOOST_TEST(!R.choose().has_value());
-  BOOST_TEST(R.m_Router.slots("permits") == 16u);
+    BOOST_TEST((m_R.dispatch() != Bad));
+  BOOST_TEST(!m_R.choose().has_value());
+  BOOST_TEST(m_R.m_Router.slots("permits") == 16u);
 }
 
 // Guards against a service that loses all agents to ejection when the fault is
 // in its requests.
 BOOST_AUTO_TEST_CASE(AtMostAThirdIsEjected) {
-  Routing R;
-  const std::vector<AgentIndex> Agents = R.addMany(11);
+  const std::vector<AgentIndex> Agents = m_R.addMany(11);
   for (const AgentIndex Agent : Agents)
-    R.failTimes(Agent, 20);
-  BOOST_TEST(R.m_Router.slots("permits") == 64u);
+    m_R.failTimes(Agent, 20);
+  BOOST_TEST(m_R.m_Router.slots("permits") == 64u);
 }
 
 // Guards against ejected agents that are the only ones left after a rack or
 // domain is lost: the limit holds for the agents that remain.
 BOOST_AUTO_TEST_CASE(EjectionEndsWhenTooFewAgentsRemain) {
-  Routing R;
-  const AgentIndex Bad = R.add("bad");
-  const AgentIndex First = R.add("w1");
-  const AgentIndex Second = R.add("w2");
-  R.failTimes(Bad, 5);
-  R.m_Router.setAvailable(First, false);
-  R.m_Router.setAvailable(Second, false);
-  BOOST_TEST((R.dispatch() == Bad));
+  const AgentIndex Bad = m_R.add("bad");
+  const AgentIndex First = m_R.add("w1");
+  const AgentIndex Second = m_R.add("w2");
+  m_R.failTimes(Bad, 5);
+  m_R.m_Router.setAvailable(First, false);
+  m_R.m_Router.setAvailable(Second, false);
+  BOOST_TEST((m_R.dispatch() == Bad));
 }
 
 // Guards against a flood of tasks on an agent that has just been readmitted,
 // and against an ejection that ends without a wakeup.
 BOOST_AUTO_TEST_CASE(ReadmittedAgentGetsOneTaskAtATime) {
-  Routing R;
-  const AgentIndex Bad = R.add("bad");
-  const AgentIndex First = R.add("w1", 1);
-  const AgentIndex Second = R.add("w2", 1);
-  R.failTimes(Bad, 5);
-  R.m_Router.dispatched(First, R.m_Now);
-  R.m_Router.dispatched(Second, R.m_Now);
-  BOOST_TEST(!R.choose().has_value());
-  BOOST_TEST((R.m_Router.nextChange() == Start + 5s));
-  R.m_Now += 5s;
+  const AgentIndex Bad = m_R.add("bad");
+  const AgentIndex First = m_R.add("w1", 1);
+  const AgentIndex Second = m_R.add("w2", 1);
+  m_R.failTimes(Bad, 5);
+  m_R.m_Router.dispatched(First, m_R.m_Now);
+  m_R.m_Router.dispatched(Second, m_R.m_Now);
+  BOOST_TEST(!m_R.choose().has_value());
+  BOOST_TEST((m_R.m_Router.nextChange() == Start + 5s));
+  m_R.m_Now += 5s;
   for (int I = 0; I < 5; ++I) {
-    BOOST_TEST((R.dispatch() == Bad));
-    BOOST_TEST(!R.choose().has_value());
-    R.finish(Bad);
+    BOOST_TEST((m_R.dispatch() == Bad));
+    BOOST_TEST(!m_R.choose().has_value());
+    m_R.finish(Bad);
   }
-  BOOST_TEST(R.dispatchAll() == 8u);
+  BOOST_TEST(m_R.dispatchAll() == 8u);
 }
 
 // Guards against a readmitted agent that must fail many tasks again before it
 // is ejected, and against ejections that do not grow.
 BOOST_AUTO_TEST_CASE(FailureAfterReadmissionEjectsForLonger) {
-  Routing R;
-  const AgentIndex Bad = R.add("bad");
-  R.add("w1");
-  R.add("w2");
-  R.failTimes(Bad, 5);
+  const AgentIndex Bad = m_R.add("bad");
+  m_R.add("w1");
+  m_R.add("w2");
+  m_R.failTimes(Bad, 5);
   Duration Expected = 5s;
   for (int Round = 0; Round < 6; ++Round) {
-    BOOST_TEST((R.m_Router.nextChange() == R.m_Now + Expected));
-    R.m_Now += Expected;
-    R.choose();
-    BOOST_TEST(R.m_Router.slots("permits") == 24u);
-    R.failTimes(Bad, 1);
-    BOOST_TEST(R.m_Router.slots("permits") == 16u);
+    BOOST_TEST((m_R.m_Router.nextChange() == m_R.m_Now + Expected));
+    m_R.m_Now += Expected;
+    m_R.choose();
+    BOOST_TEST(m_R.m_Router.slots("permits") == 24u);
+    m_R.failTimes(Bad, 1);
+    BOOST_TEST(m_R.m_Router.slots("permits") == 16u);
     Expected = std::min<Duration>(2 * Expected, 60s);
   }
 }
@@ -334,49 +322,46 @@
 // another one has room, and against a task that waits for another agent and
 // holds up all tasks behind it.
 BOOST_AUTO_TEST_CASE(RetryAvoidsTheEarlierAgentWhileAnotherHasRoom) {
-  Routing R;
-  const AgentIndex First = R.add("w1");
-  const AgentIndex Second = R.add("w2", 1);
+  const AgentIndex First = m_R.add("w1");
+  const AgentIndex Second = m_R.add("w2", 1);
   const RouteQuery Retry{"permits", {}, First};
   for (int I = 0; I < 20; ++I)
-    BOOST_TEST((R.choose(Retry) == Second));
-  R.m_Router.dispatched(Second, R.m_Now);
-  BOOST_TEST((R.choose(Retry) == First));
+    BOOST_TEST((m_R.choose(Retry) == Second));
+  m_R.m_Router.dispatched(Second, m_R.m_Now);
+  BOOST_TEST((m_R.choose(Retry) == First));
 }
 
 // Guards against tasks sent to endpoints that are too small, and against jobs
 // that wait for ever although no endpoint can ever hold them.
 BOOST_AUTO_TEST_CASE(TasksGoOnlyToEndpointsThatHoldThem) {
-  Routing R;
-  R.add("small");
+  m_R.add("small");
   AgentHello Large = hello("large", 1);
   Large.m_Size = Size{64, 131072, 2};
-  const AgentIndex LargeAgent = R.m_Router.addAgent(Large, R.m_Now);
+  const AgentIndex LargeAgent = m_R.m_Router.addAgent(Large, m_R.m_Now);
   const RouteQuery Query{"permits", Size{1, 1, 1}, {}};
-  BOOST_TEST((R.choose(Query) == LargeAgent));
-  R.m_Router.dispatched(LargeAgent, R.m_Now);
-  BOOST_TEST(!R.choose(Query).has_value());
-  BOOST_TEST((R.m_Why == NoRoute::AllBusy));
+  BOOST_TEST((m_R.choose(Query) == LargeAgent));
+  m_R.m_Router.dispatched(LargeAgent, m_R.m_Now);
+  BOOST_TEST(!m_R.choose(Query).has_value());
+  BOOST_TEST((m_R.m_Why == NoRoute::AllBusy));
   const RouteQuery TooLarge{"permits", Size{1, 1, 3}, {}};
-  BOOST_TEST(!R.choose(TooLarge).has_value());
-  BOOST_TEST((R.m_Why == NoRoute::NoneFits));
-  BOOST_TEST(!R.m_Router.fitsAny("permits", Size{1, 1, 3}));
+  BOOST_TEST(!m_R.choose(TooLarge).has_value());
+  BOOST_TEST((m_R.m_Why == NoRoute::NoneFits));
+  BOOST_TEST(!m_R.m_Router.fitsAny("permits", Size{1, 1, 3}));
 }
 
 // Guards against new work for agents that leave or lost their link.
 BOOST_AUTO_TEST_CASE(UnavailableAgentsGetNothing) {
-  Routing R;
-  const AgentIndex First = R.add("w1");
-  const AgentIndex Second = R.add("w2");
-  R.m_Router.setAvailable(First, false);
-  R.m_Router.updateStatus(Second, {AgentState::Leaving, 8, 0}, R.m_Now);
+  const AgentIndex First = m_R.add("w1");
+  const AgentIndex Second = m_R.add("w2");
+  m_R.m_Router.setAvailable(First, false);
+  m_R.m_Router.updateStatus(Second, {AgentState::Leaving, 8, 0}, m_R.m_Now);
   for (const RoutingPolicy &Policy :
        {RoutingPolicy(SharePolicy{}), RoutingPolicy(RandomPolicy{}),
         RoutingPolicy(RoundRobinPolicy{}),
         RoutingPolicy(LeastLoadedPolicy{})}) {
-    R.m_Policy = Policy;
-    BOOST_TEST(!R.choose().has_value());
-    BOOST_TEST((R.m_Why == NoRoute::NoEndpoint));
+    m_R.m_Policy = Policy;
+    BOOST_TEST(!m_R.choose().has_value());
+    BOOST_TEST((m_R.m_Why == NoRoute::NoEndpoint));
   }
 }
 
@@ -397,30 +382,27 @@
 // Guards against a queue at the agents that the share policy leaves unused or
 // overfills.
 BOOST_AUTO_TEST_CASE(AgentQueueIsUsedAfterTheSlots) {
-  Routing R;
-  R.m_Router.setAgentQueue(2);
-  R.add("w1");
-  R.add("w2");
-  BOOST_TEST(R.dispatchAll() == 20u);
+  m_R.m_Router.setAgentQueue(2);
+  m_R.add("w1");
+  m_R.add("w2");
+  BOOST_TEST(m_R.dispatchAll() == 20u);
 }
 
 // Guards against a row that is reused with the load or health of the agent
 // before.
 BOOST_AUTO_TEST_CASE(RowsAreReusedClean) {
-  Routing R;
-  const AgentIndex First = R.add("w1");
-  R.dispatchAll();
-  R.m_Router.removeAgent(First);
-  BOOST_TEST(R.m_Router.slots("permits") == 0u);
-  const AgentIndex Again = R.add("w2");
+  const AgentIndex First = m_R.add("w1");
+  m_R.dispatchAll();
+  m_R.m_Router.removeAgent(First);
+  BOOST_TEST(m_R.m_Router.slots("permits") == 0u);
+  const AgentIndex Again = m_R.add("w2");
   BOOST_TEST(Again == First);
-  BOOST_TEST(R.dispatchAll() == 8u);
+  BOOST_TEST(m_R.dispatchAll() == 8u);
 }
 
 // Guards against random operations that leave an agent in two sets or none:
 // the free capacity that choices find must be the one counted by hand.
 BOOST_AUTO_TEST_CASE(SetsStayConsistentUnderRandomOperations) {
-  Routing R;
   std::uint64_t State = 42;
   const auto Draw = [&State](std::uint32_t Bound) {
     State = State * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -430,18 +412,18 @@
   std::uint32_t Total = 0;
   for (int Step = 0; Step < 20000; ++Step) {
     // Longer than the time for which dispatches count as under way.
-    R.m_Now += 5ms;
+    m_R.m_Now += 5ms;
     if (Own.size() < 5 || (Own.size() < 30 && Draw(50) == 0))
-      Own[R.add("w" + std::to_string(Step))] = 0;
+      Own[m_R.add("w" + std::to_string(Step))] = 0;
     auto Row = Own.begin();
     std::advance(Row, Draw(static_cast<std::uint32_t>(Own.size())));
     const std::uint32_t Kind = Draw(100);
     if (Kind == 0) {
       Total -= Row->second;
-      R.m_Router.removeAgent(Row->first);
+      m_R.m_Router.removeAgent(Row->first);
       Own.erase(Row);
     } else if (Kind < 55) {
-      const auto Agent = R.dispatch();
+      const auto Agent = m_R.dispatch();
       BOOST_REQUIRE(Agent.has_value() == (Total < Own.size() * 8));
       if (Agent) {
         ++Total;
@@ -452,9 +434,9 @@
       --Total;
       // Tasks end in random order; with a usual run time longer than the test,
       // no agent is held back as a straggler.
-      R.finish(Row->first, Outcome::Completed, 1h, Row->second);
+      m_R.finish(Row->first, Outcome::Completed, 1h, Row->second);
     }
-    BOOST_REQUIRE(R.m_Router.slots("permits") == Own.size() * 8);
+    BOOST_REQUIRE(m_R.m_Router.slots("permits") == Own.size() * 8);
   }
 }
 
@@ -462,20 +444,19 @@
 // choice must not scan them. The limit is generous for busy machines; a scan
 // costs more than ten times as much.
 BOOST_AUTO_TEST_CASE(ChoiceIsCheapAtTwoThousandAgents) {
-  Routing R;
-  R.m_Router.setEntries(4);
+  m_R.m_Router.setEntries(4);
   for (int I = 0; I < 2000; ++I)
-    R.add("w" + std::to_string(I));
+    m_R.add("w" + std::to_string(I));
   const auto Begin = std::chrono::steady_clock::now();
   constexpr int Choices = 200000;
   std::vector<AgentIndex> Held;
   for (int I = 0; I < Choices; ++I) {
-    R.m_Now += 8us;
-    Held.push_back(R.dispatch().value());
+    m_R.m_Now += 8us;
+    Held.push_back(m_R.dispatch().value());
     if (Held.size() < 10000)
       continue;
     const std::size_t Oldest = static_cast<std::size_t>(I) % Held.size();
-    R.finish(Held[Oldest], Outcome::Completed, 100ms, 5);
+    m_R.finish(Held[Oldest], Outcome::Completed, 100ms, 5);
     Held[Oldest] = Held.back();
     Held.pop_back();
   }
