Tell operators what keeps work from each agent

Cause: the symptom table sent operators to the log to find out which of an entry's agents took no work, and why. Change: GET /v1/agents and `cyclamencroft agents` list every agent with its state (lost link, in doubt, suspected, drained, superseded, leaving, ejected, straggler). Ruled out: one metric for each agent, which grows /metrics with the number of workers. Process suites take their deployment from a fixture; the cases are the same.

--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -114,7 +114,7 @@
     if (awaitsReturn(Session))
       return;
   for (EntrySession &Session : m_Sessions)
-    if (Session.m_Greeted)
+    if (Session.m_HelloReceived)
       send(Session, Goodbye{"agent has shut down"});
   m_Drained = true;
   m_Commands->push_back(Drained{});
--- a/src/agent/AgentLinks.cpp
+++ b/src/agent/AgentLinks.cpp
@@ -43,7 +43,7 @@
   if (!Session)
     return;
   Session->m_LastHeard = m_Now;
-  if (!Session->m_Greeted &&
+  if (!Session->m_HelloReceived &&
       !std::holds_alternative<EntryHello>(Event.m_Message)) {
     closeLink(*Session, "message before the entry's hello");
     return;
@@ -71,7 +71,7 @@
   Session.m_Entry = Hello.m_Incarnation;
   Session.m_EntryId = Hello.m_EntryId;
   Session.m_Delay.excess(m_Now, Hello.m_SentAt);
-  Session.m_Greeted = true;
+  Session.m_HelloReceived = true;
   log("entry-connected", {{"peer", Hello.m_EntryId},
                           {"window", std::to_string(Session.m_WindowId)}});
 }
@@ -126,10 +126,10 @@
 // Waiting tasks are fenced: the entry learns it when it reconciles, and work
 // is not started for an entry that may have given it up.
 void AgentCore::Impl::loseLink(EntrySession &Session) {
-  if (Session.m_Greeted)
+  if (Session.m_HelloReceived)
     Session.m_ReturnUntil = m_Now + EntryGracePeriod;
   Session.m_Link.reset();
-  Session.m_Greeted = false;
+  Session.m_HelloReceived = false;
   Session.m_ServiceChangePing.reset();
   const std::uint64_t Window = Session.m_WindowId;
   for (const WaitingTask &Task : m_Waiting.take([Window](const WaitingTask &T) {
@@ -155,7 +155,7 @@
 }
 
 TimePoint AgentCore::Impl::silenceEnd(const EntrySession &Session) const {
-  const bool AwaitsAnswer = !Session.m_Greeted || Session.m_ServiceChangePing;
+  const bool AwaitsAnswer = !Session.m_HelloReceived || Session.m_ServiceChangePing;
   return Session.m_LastHeard + (AwaitsAnswer ? AnswerLimit : SilenceLimit);
 }
 
@@ -185,7 +185,7 @@
 }
 
 void AgentCore::Impl::tellChanges(EntrySession &Session) {
-  if (!Session.m_Greeted)
+  if (!Session.m_HelloReceived)
     return;
   AgentHello Hello = makeHello(Session);
   AgentHello &Told = Session.m_Told;
--- a/src/agent/AgentTasks.cpp
+++ b/src/agent/AgentTasks.cpp
@@ -119,7 +119,7 @@
                          {"request", Request.toHex()},
                          {"sequence", std::to_string(Key.m_Sequence)},
                          {"reason", std::string(toString(Reason))}});
-  if (Session.m_Greeted)
+  if (Session.m_HelloReceived)
     send(Session, TaskRefused{Key.m_Sequence, Reason, load()});
 }
 
@@ -201,7 +201,7 @@
   Session.m_Window.mark(Result.m_Sequence, DispatchState::Finished);
   Session.m_Results.store(Result);
   ++m_Counters.m_Results;
-  if (Session.m_Greeted)
+  if (Session.m_HelloReceived)
     send(Session, std::move(Result));
 }
 
--- a/src/agent/EntrySession.h
+++ b/src/agent/EntrySession.h
@@ -33,7 +33,7 @@
   std::optional<LinkId> m_Link;
   std::string m_EntryId;
   /// The entry's hello has arrived; other messages are accepted.
-  bool m_Greeted = false;
+  bool m_HelloReceived = false;
   /// Last hello sent, updated by each status sent after it.
   AgentHello m_Told;
   /// Number of a Ping that marks a change of service. Dispatches received
--- a/src/cli/CallerCommands.cpp
+++ b/src/cli/CallerCommands.cpp
@@ -134,9 +134,19 @@
   Command->callback([&Sink, Entry] { Sink.m_Result = showStatus(*Entry); });
 }
 
+void addAgents(CLI::App &App, CommandSink &Sink) {
+  CLI::App *Command = App.add_subcommand(
+      "agents", "Print what an entry knows of each agent, one line an agent.\n"
+                "Example: cyclamencroft agents --entry 127.0.0.1:8080");
+  auto Entry = std::make_shared<std::string>();
+  addEntryOption(*Command, *Entry);
+  Command->callback([&Sink, Entry] { Sink.m_Result = showAgents(*Entry); });
+}
+
 } // namespace
 
 void addCallerCommands(CLI::App &App, CommandSink &Sink) {
+  addAgents(App, Sink);
   addCancel(App, Sink);
   addJob(App, Sink);
   addRequest(App, Sink);
--- a/src/cli/EntryCalls.cpp
+++ b/src/cli/EntryCalls.cpp
@@ -171,6 +171,24 @@
   });
 }
 
+CommandResult showAgents(const std::string &Entry) {
+  const HttpCall Call = makeOperatorCall(Entry, "GET", "/v1/agents");
+  return callEntry(Call, "", [](const HttpResponse &Response) {
+    const Json Page = Json::parse(Response.m_Body, nullptr, false);
+    if (Response.m_Status != Ok || !Page.is_object())
+      return unexpectedStatus(Response);
+    std::string Text;
+    for (const Json &Agent : Page["agents"]) {
+      for (const auto &[Key, Value] : Agent.items())
+        Text += Key + '=' +
+                (Value.is_string() ? Value.get<std::string>() : Value.dump()) +
+                ' ';
+      Text.back() = '\n';
+    }
+    return makeResult(ExitCode::Done, Page, Text);
+  });
+}
+
 std::optional<ConfigTransfer> fetchConfig(const std::string &Entry,
                                           CommandResult &Failure) {
   const HttpCall Call = makeOperatorCall(Entry, "GET", "/v1/config");
--- a/src/cli/EntryCalls.h
+++ b/src/cli/EntryCalls.h
@@ -42,6 +42,8 @@
 CommandResult submitJob(const std::string &Entry, const JobFile &Job);
 CommandResult cancelRequest(const std::string &Entry, const std::string &Id);
 CommandResult showStatus(const std::string &Entry);
+/// One line for each agent that the entry knows.
+CommandResult showAgents(const std::string &Entry);
 
 /// What an entry's response to a request or job means for a script.
 CommandResult judgeResponse(const HttpResponse &Response,
--- a/src/entry/AgentRow.cpp
+++ b/src/entry/AgentRow.cpp
@@ -18,4 +18,20 @@
   return Reachable && Willing && Wanted && m_Route && !m_Ledger.full();
 }
 
+std::string_view AgentRow::stateName() const {
+  if (!m_Link || m_SaidGoodbye)
+    return "link-lost";
+  if (m_Reconciling)
+    return "in-doubt";
+  if (m_Silence == SilenceState::Suspected)
+    return "suspected";
+  if (m_DomainDrained)
+    return "drained";
+  if (m_Superseded)
+    return "superseded";
+  if (!m_Route)
+    return "no-endpoint";
+  return m_State == AgentState::Leaving ? "leaving" : "available";
+}
+
 } // namespace cyclamencroft
--- a/src/entry/AgentRow.h
+++ b/src/entry/AgentRow.h
@@ -61,6 +61,9 @@
   /// Compares a hello with the identity of the row.
   HelloMeaning meaningOf(const AgentHello &Hello) const;
 
+  /// Name of what keeps new tasks away; "available" when nothing does.
+  std::string_view stateName() const;
+
   /// True when new tasks may be dispatched to the agent.
   bool takesWork() const;
 };
--- a/src/entry/EntryAgents.cpp
+++ b/src/entry/EntryAgents.cpp
@@ -42,7 +42,7 @@
     attachLink(Index, Link);
   updateIdentity(Index, Hello);
   if (NewLink)
-    greetAgent(Index);
+    sendEntryHello(Index);
   refreshAvailability(Row);
 }
 
@@ -152,7 +152,7 @@
       {{"address", Address}, {"earlier", Earlier.m_Id}, {"later", Row.m_Id}});
 }
 
-void EntryCore::Impl::greetAgent(AgentRowIndex Index) {
+void EntryCore::Impl::sendEntryHello(AgentRowIndex Index) {
   AgentRow &Row = m_Rows[Index];
   EntryHello Hello;
   Hello.m_EntryId = m_Options.m_EntryId;
--- a/src/entry/EntryCore.h
+++ b/src/entry/EntryCore.h
@@ -2,6 +2,7 @@
 // accepted until it is answered. Pure: events in, commands out.
 #pragma once
 
+#include "entry/AgentReport.h"
 #include "entry/EntryEvents.h"
 
 #include <memory>
@@ -59,6 +60,9 @@
 
   EntryStatus status() const;
 
+  /// One report for each agent that is connected or may come back, by id.
+  std::vector<AgentReport> agents() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/src/entry/EntryCoreImpl.h
+++ b/src/entry/EntryCoreImpl.h
@@ -31,6 +31,7 @@
               std::vector<EntryCommand> &Commands);
   TimePoint nextWakeup() const;
   EntryStatus status() const;
+  std::vector<AgentReport> agents() const;
 
 private:
   /// A heartbeat goes out on a link without other messages for this long; three
@@ -163,7 +164,7 @@
   void updateRoute(AgentRowIndex Index, const AgentHello &Hello);
   void dropRoute(AgentRow &Row);
   void claimAddress(AgentRowIndex Index, const std::string &Old);
-  void greetAgent(AgentRowIndex Index);
+  void sendEntryHello(AgentRowIndex Index);
   void startReconcile(AgentRowIndex Index);
   void reconcileReplied(AgentRowIndex Index, const ReconcileReply &Reply);
   void outstandingUnknown(AgentRow &Row, std::string_view Why);
@@ -171,6 +172,9 @@
   void agentMessage(AgentRowIndex Index, const LinkMessage &Message);
   void agentStatus(AgentRow &Row, const AgentStatus &Status);
 
+  // Reports (EntryReports.cpp).
+  AgentReport reportOn(const AgentRow &Row) const;
+
   // Lost and silent agents (EntryLiveness.cpp).
   void agentLost(AgentRowIndex Index);
   void graceEnded(AgentRowIndex Index);
--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -118,6 +118,8 @@
     return Query(EntryPage::Ready);
   if (Path == "/v1/status")
     return Query(EntryPage::Status);
+  if (Path == "/v1/agents")
+    return Query(EntryPage::Agents);
   if (Path == "/metrics")
     return Query(EntryPage::Metrics);
   if (Path == "/v1/config")
--- a/src/entry/EntryHttp.h
+++ b/src/entry/EntryHttp.h
@@ -15,7 +15,7 @@
 using ExchangePtr = std::shared_ptr<HttpExchange>;
 
 /// Pages that the core's thread answers.
-enum class EntryPage { Ready, Status, Metrics };
+enum class EntryPage { Ready, Status, Agents, Metrics };
 
 class EntryHttp {
 public:
--- a/src/entry/EntryPages.cpp
+++ b/src/entry/EntryPages.cpp
@@ -22,6 +22,8 @@
   case EntryPage::Status:
     return Exchange->respond(
         statusResponse(Status, m_EntryId, m_Callers.size()));
+  case EntryPage::Agents:
+    return Exchange->respond(agentsResponse(m_Core.agents()));
   case EntryPage::Metrics:
     return Exchange->respond(metricsPage(Status));
   }
--- a/src/entry/EntryResponses.cpp
+++ b/src/entry/EntryResponses.cpp
@@ -157,6 +157,20 @@
   return jsonResponse(Ok, {}, dump(Body));
 }
 
+HttpResponse agentsResponse(const std::vector<AgentReport> &Agents) {
+  Json List = Json::array();
+  for (const AgentReport &Each : Agents)
+    List.push_back({{"id", Each.m_Id},
+                    {"state", Each.m_State},
+                    {"service", Each.m_Service},
+                    {"failure_domain", Each.m_FailureDomain},
+                    {"rack", Each.m_Rack},
+                    {"endpoint", Each.m_Endpoint},
+                    {"slots", Each.m_Slots},
+                    {"outstanding", Each.m_Outstanding}});
+  return jsonResponse(Ok, {}, dump(Json({{"agents", List}})));
+}
+
 HttpResponse configResponse(const ConfigState &State) {
   const Json Body = {{"version", State.m_Version},
                      {"offset", State.m_Offset},
--- a/src/entry/EntryResponses.h
+++ b/src/entry/EntryResponses.h
@@ -20,9 +20,10 @@
 /// Status of work that was not run for \p Reason.
 unsigned statusOf(RefusalReason Reason);
 
-/// Body of GET /v1/status and of GET /v1/config.
+/// Bodies of GET /v1/status, /v1/agents and /v1/config.
 HttpResponse statusResponse(const EntryStatus &Status,
                             const std::string &EntryId, std::size_t Callers);
+HttpResponse agentsResponse(const std::vector<AgentReport> &Agents);
 HttpResponse configResponse(const ConfigState &State);
 
 } // namespace cyclamencroft
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -177,6 +177,18 @@
          slowdown(Row, *Row.m_Class->m_Service, Now) >= StragglerRatio;
 }
 
+std::string_view Router::healthName(AgentIndex Agent, TimePoint Now) const {
+  switch (m_Impl->m_Table.row(Agent).m_Health.state()) {
+  case OutlierDetector::State::Ejected:
+    return "ejected";
+  case OutlierDetector::State::Readmitted:
+    return "readmitted";
+  case OutlierDetector::State::Normal:
+    break;
+  }
+  return isSlow(Agent, Now) ? "straggler" : "available";
+}
+
 TimePoint Router::nextChange() const { return m_Impl->m_Table.nextChange(); }
 
 Duration Router::usualRunTime(std::string_view Service) const {
--- a/src/entry/Router.h
+++ b/src/entry/Router.h
@@ -71,6 +71,9 @@
   /// or too few of those outstanding have ended.
   bool isSlow(AgentIndex Agent, TimePoint Now) const;
 
+  /// "available", "ejected", "readmitted" or "straggler".
+  std::string_view healthName(AgentIndex Agent, TimePoint Now) const;
+
   /// Usual run time of the service (moving mean); zero before the first result.
   Duration usualRunTime(std::string_view Service) const;
 
--- a/tests/process/ConfigurationTest.cpp
+++ b/tests/process/ConfigurationTest.cpp
@@ -37,31 +37,29 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(ConfigurationStream)
+BOOST_FIXTURE_TEST_SUITE(ConfigurationStream, ClusterCase)
 
 // Guards against processes that miss a change or take longer than 7 s.
 BOOST_AUTO_TEST_CASE(PresetIsInEffectEverywhereWithinSevenSeconds) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
+  m_Cluster.startWhole(2, 3);
   for (const char *Preset : {"peak", "maintenance", "ordinary"}) {
-    BOOST_REQUIRE(Cluster.runCli({"preset", "switch", Preset, "--log",
-                                  Cluster.m_Log.m_Http}) == 0);
-    waitForPreset(Cluster, Preset);
+    BOOST_REQUIRE(m_Cluster.runCli({"preset", "switch", Preset, "--log",
+                                    m_Cluster.m_Log.m_Http}) == 0);
+    waitForPreset(m_Cluster, Preset);
   }
-  BOOST_TEST(versionAt(*Cluster.m_Entries[0]) == 4U);
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[0]) == 4U);
 }
 
 // Guards against two racing changes that are both accepted, or that different
 // processes judge differently.
 BOOST_AUTO_TEST_CASE(OneOfTwoRacingOperatorsWins) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 1);
+  m_Cluster.startWhole(2, 1);
   const auto Switch = [&](const std::string &Preset) {
-    return std::async(std::launch::async, [&Cluster, Preset] {
+    return std::async(std::launch::async, [this, Preset] {
       ChildProcess Cli("cyclamencroft",
                        {"preset", "switch", Preset, "--base", "1", "--log",
-                        Cluster.m_Log.m_Http},
-                       Cluster.fileFor("race-" + Preset + ".out"));
+                        m_Cluster.m_Log.m_Http},
+                       m_Cluster.fileFor("race-" + Preset + ".out"));
       Cli.waitForExit(std::chrono::milliseconds(20000));
       return Cli.exitCode();
     });
@@ -72,44 +70,41 @@
   const int MaintenanceCode = Maintenance.get();
   BOOST_TEST(PeakCode + MaintenanceCode == LostRace);
   BOOST_TEST((PeakCode == 0 || MaintenanceCode == 0));
-  waitForPreset(Cluster, PeakCode == 0 ? "peak" : "maintenance");
-  BOOST_TEST(versionAt(*Cluster.m_Entries[0]) == 2U);
+  waitForPreset(m_Cluster, PeakCode == 0 ? "peak" : "maintenance");
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[0]) == 2U);
 }
 
 // Guards against a change that is appended twice, or reported as lost, because
 // the log's reply was lost.
 BOOST_AUTO_TEST_CASE(LostReplyOfTheLogPublishesOnce) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  Deployment::postMode(Cluster.m_Log, R"({"lose_replies": 1})");
-  BOOST_TEST(Cluster.runCli({"preset", "switch", "peak", "--log",
-                             Cluster.m_Log.m_Http}) == 0);
-  waitForPreset(Cluster, "peak");
-  BOOST_TEST(versionAt(*Cluster.m_Entries[0]) == 2U);
+  m_Cluster.startWhole(1, 1);
+  Deployment::postMode(m_Cluster.m_Log, R"({"lose_replies": 1})");
+  BOOST_TEST(m_Cluster.runCli({"preset", "switch", "peak", "--log",
+                               m_Cluster.m_Log.m_Http}) == 0);
+  waitForPreset(m_Cluster, "peak");
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[0]) == 2U);
 }
 
 // Guards against an entry that starts during an outage and serves an older
 // configuration than its peers, or invents one.
 BOOST_AUTO_TEST_CASE(EntryStartedWhileTheLogIsDownTakesThePeersVersion) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  BOOST_REQUIRE(Cluster.runCli({"preset", "switch", "peak", "--log",
-                                Cluster.m_Log.m_Http}) == 0);
-  waitForPreset(Cluster, "peak");
-  Deployment::postMode(Cluster.m_Log, R"({"down": "reset"})");
-  Cluster.startEntry();
-  waitForPreset(Cluster, "peak");
-  BOOST_TEST(versionAt(*Cluster.m_Entries[1]) == 2U);
+  m_Cluster.startWhole(1, 1);
+  BOOST_REQUIRE(m_Cluster.runCli({"preset", "switch", "peak", "--log",
+                                  m_Cluster.m_Log.m_Http}) == 0);
+  waitForPreset(m_Cluster, "peak");
+  Deployment::postMode(m_Cluster.m_Log, R"({"down": "reset"})");
+  m_Cluster.startEntry();
+  waitForPreset(m_Cluster, "peak");
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[1]) == 2U);
 }
 
 // Guards against an entry that takes requests without a configuration.
 BOOST_AUTO_TEST_CASE(EntryWithoutLogAndPeersServesNothingAndSaysWhy) {
-  Deployment Cluster;
-  Cluster.startLog();
-  Deployment::postMode(Cluster.m_Log, R"({"down": "reset"})");
-  Cluster.startEntry();
+  m_Cluster.startLog();
+  Deployment::postMode(m_Cluster.m_Log, R"({"down": "reset"})");
+  m_Cluster.startEntry();
   const HttpResponse Response =
-      Deployment::call(Cluster.m_Entries[0]->m_Http, "run-ms=10 ");
+      Deployment::call(m_Cluster.m_Entries[0]->m_Http, "run-ms=10 ");
   BOOST_TEST(Response.m_Status == 503U);
   BOOST_TEST(Response.header("Cyclamencroft-Outcome") == "not-run");
   BOOST_TEST(Response.m_Body.find("no-configuration") != std::string::npos);
@@ -118,31 +113,30 @@
 // Guards against a new entry that can't tell the state from a truncated log,
 // or that judges a change without the version before it.
 BOOST_AUTO_TEST_CASE(NewEntryReadsATruncatedLog) {
-  Deployment Cluster;
-  Cluster.startLog({"--retention", "12"});
-  Cluster.startEntry();
-  BOOST_REQUIRE(Cluster.publish(Deployment::TestConfiguration) == 0);
+  m_Cluster.startLog({"--retention", "12"});
+  m_Cluster.startEntry();
+  BOOST_REQUIRE(m_Cluster.publish(Deployment::TestConfiguration) == 0);
   for (int I = 0; I < 10; ++I)
     for (const char *Preset : {"peak", "ordinary"}) {
       std::string Output;
-      const int Code = Cluster.runCli(
-          {"preset", "switch", Preset, "--log", Cluster.m_Log.m_Http}, &Output);
+      const int Code = m_Cluster.runCli(
+          {"preset", "switch", Preset, "--log", m_Cluster.m_Log.m_Http},
+          &Output);
       BOOST_REQUIRE_MESSAGE(Code == 0, Output);
     }
-  Cluster.m_Entries[0]->m_Process->kill();
-  Cluster.m_Entries.clear();
-  Cluster.startEntry();
-  waitForPreset(Cluster, "ordinary");
-  BOOST_TEST(versionAt(*Cluster.m_Entries[0]) == 21U);
+  m_Cluster.m_Entries[0]->m_Process->kill();
+  m_Cluster.m_Entries.clear();
+  m_Cluster.startEntry();
+  waitForPreset(m_Cluster, "ordinary");
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[0]) == 21U);
 }
 
 // Guards against an invalid document that replaces a valid one.
 BOOST_AUTO_TEST_CASE(InvalidDocumentIsRefusedWithItsPlace) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  BOOST_TEST(Cluster.publish("preset = \"none\"\n[services.a]\nspeed = 1\n") ==
-             2);
-  BOOST_TEST(versionAt(*Cluster.m_Entries[0]) == 1U);
+  m_Cluster.startWhole(1, 1);
+  BOOST_TEST(
+      m_Cluster.publish("preset = \"none\"\n[services.a]\nspeed = 1\n") == 2);
+  BOOST_TEST(versionAt(*m_Cluster.m_Entries[0]) == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/FailureTest.cpp
+++ b/tests/process/FailureTest.cpp
@@ -39,111 +39,105 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(Failures)
+BOOST_FIXTURE_TEST_SUITE(Failures, ClusterCase)
 
 // Guards against tasks that are moved while a dead agent may have run them.
 BOOST_AUTO_TEST_CASE(KilledAgentsStartNoTaskTwice) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
-  BackgroundLoad Load(loadOn(Cluster));
+  m_Cluster.startWhole(2, 3);
+  BackgroundLoad Load(loadOn(m_Cluster));
   Load.waitForCalls(50);
-  Cluster.m_Agents[0]->m_Process->kill();
+  m_Cluster.m_Agents[0]->m_Process->kill();
   Load.waitForCalls(200);
-  Cluster.m_Agents[1]->m_Process->kill();
+  m_Cluster.m_Agents[1]->m_Process->kill();
   Load.waitForCalls(400);
   const LoadResult Result = Load.stop();
-  checkStarts(Cluster, Result);
+  checkStarts(m_Cluster, Result);
   BOOST_TEST(Result.count("completed") > 300U);
 }
 
 // Guards against a frozen agent that starts old work after it thaws.
 BOOST_AUTO_TEST_CASE(FrozenAgentStartsNothingTwiceAfterItThaws) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
-  BackgroundLoad Load(loadOn(Cluster));
+  m_Cluster.startWhole(2, 3);
+  BackgroundLoad Load(loadOn(m_Cluster));
   Load.waitForCalls(50);
-  Cluster.m_Agents[0]->m_Process->sendSignal(SIGSTOP);
+  m_Cluster.m_Agents[0]->m_Process->sendSignal(SIGSTOP);
   Load.waitForCalls(300);
   std::this_thread::sleep_for(std::chrono::seconds(5));
-  Cluster.m_Agents[0]->m_Process->sendSignal(SIGCONT);
+  m_Cluster.m_Agents[0]->m_Process->sendSignal(SIGCONT);
   Load.waitForCalls(600);
   const LoadResult Result = Load.stop();
-  checkStarts(Cluster, Result);
+  checkStarts(m_Cluster, Result);
   BOOST_TEST(Result.count("completed") > 400U);
 }
 
 // Guards against an entry that resumes after a freeze and starts its old work
 // again, or gives an answer to the wrong caller.
 BOOST_AUTO_TEST_CASE(FrozenEntryAnswersEachCallerOnce) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
-  BackgroundLoad Load(loadOn(Cluster));
+  m_Cluster.startWhole(2, 3);
+  BackgroundLoad Load(loadOn(m_Cluster));
   Load.waitForCalls(50);
-  Cluster.m_Entries[0]->m_Process->sendSignal(SIGSTOP);
+  m_Cluster.m_Entries[0]->m_Process->sendSignal(SIGSTOP);
   std::this_thread::sleep_for(std::chrono::seconds(4));
-  Cluster.m_Entries[0]->m_Process->sendSignal(SIGCONT);
+  m_Cluster.m_Entries[0]->m_Process->sendSignal(SIGCONT);
   Load.waitForCalls(400);
-  checkStarts(Cluster, Load.stop());
+  checkStarts(m_Cluster, Load.stop());
 }
 
 // Guards against a replaced entry whose sequence numbers, which start again,
 // are mistaken for old ones, and against work of the dead one that starts late.
 BOOST_AUTO_TEST_CASE(ReplacedEntryAtTheSameAddressServesAtOnce) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
-  BackgroundLoad Load(loadOn(Cluster));
+  m_Cluster.startWhole(2, 3);
+  BackgroundLoad Load(loadOn(m_Cluster));
   Load.waitForCalls(50);
-  const std::string Http = Cluster.m_Entries[1]->m_Http;
-  const std::string Link = Cluster.m_Entries[1]->m_Link;
-  Cluster.m_Entries[1]->m_Process->kill();
-  Cluster.m_Entries.pop_back();
-  Cluster.startEntry(Http, Link);
-  Cluster.waitForAgents(3);
+  const std::string Http = m_Cluster.m_Entries[1]->m_Http;
+  const std::string Link = m_Cluster.m_Entries[1]->m_Link;
+  m_Cluster.m_Entries[1]->m_Process->kill();
+  m_Cluster.m_Entries.pop_back();
+  m_Cluster.startEntry(Http, Link);
+  m_Cluster.waitForAgents(3);
   const HttpResponse After = Deployment::call(Http, "run-ms=10 ");
   BOOST_TEST(outcomeOf(After) == "completed");
   Load.waitForCalls(300);
-  checkStarts(Cluster, Load.stop());
+  checkStarts(m_Cluster, Load.stop());
 }
 
 // Guards against jobs that are failed, or tasks that run twice, because a link
 // was cut for a moment while they ran.
 BOOST_AUTO_TEST_CASE(JobSurvivesAShortCutBetweenEntryAndAgent) {
-  Deployment Cluster;
-  Cluster.startLog();
-  Node &Entry = Cluster.startEntry();
-  Node &Relay = Cluster.startRelay(Entry.m_Link);
-  Cluster.startEndpoint(Cluster.startAgent({Relay.m_Link}));
-  BOOST_REQUIRE(Cluster.publish(Deployment::TestConfiguration) == 0);
-  Cluster.waitForAgents(1);
+  m_Cluster.startLog();
+  Node &Entry = m_Cluster.startEntry();
+  Node &Relay = m_Cluster.startRelay(Entry.m_Link);
+  m_Cluster.startEndpoint(m_Cluster.startAgent({Relay.m_Link}));
+  BOOST_REQUIRE(m_Cluster.publish(Deployment::TestConfiguration) == 0);
+  m_Cluster.waitForAgents(1);
   auto Job = std::async(std::launch::async, [&] {
     return Deployment::submit(Entry.m_Http,
                               std::vector<std::string>(24, "run-ms=400 "));
   });
-  Deployment::waitUntil([&] { return Cluster.sumStarts("total") >= 8; },
+  Deployment::waitUntil([&] { return m_Cluster.sumStarts("total") >= 8; },
                         "tasks run", std::chrono::milliseconds(10000));
   Deployment::postMode(Relay, R"({"mode": "reset"})");
   Deployment::postMode(Relay, R"({"mode": "pass"})");
   const HttpResponse Answer = Job.get();
   BOOST_TEST(outcomeOf(Answer) == "completed", Answer.m_Body);
-  BOOST_TEST(Cluster.sumStarts("total") == 24U);
+  BOOST_TEST(m_Cluster.sumStarts("total") == 24U);
 }
 
 // Guards against a partial answer of a job and against a long cut that moves
 // tasks which may have run.
 BOOST_AUTO_TEST_CASE(JobFailsWholeWhenItsAgentStaysCutOff) {
-  Deployment Cluster;
-  Cluster.startLog();
-  Node &Entry = Cluster.startEntry();
-  Node &Relay = Cluster.startRelay(Entry.m_Link);
-  Cluster.startEndpoint(Cluster.startAgent({Relay.m_Link}));
-  Cluster.startEndpoint(Cluster.startAgent());
-  BOOST_REQUIRE(Cluster.publish(Deployment::TestConfiguration) == 0);
-  Cluster.waitForAgents(2);
+  m_Cluster.startLog();
+  Node &Entry = m_Cluster.startEntry();
+  Node &Relay = m_Cluster.startRelay(Entry.m_Link);
+  m_Cluster.startEndpoint(m_Cluster.startAgent({Relay.m_Link}));
+  m_Cluster.startEndpoint(m_Cluster.startAgent());
+  BOOST_REQUIRE(m_Cluster.publish(Deployment::TestConfiguration) == 0);
+  m_Cluster.waitForAgents(2);
   auto Job = std::async(std::launch::async, [&] {
     return Deployment::submit(Entry.m_Http,
                               std::vector<std::string>(40, "run-ms=500 "));
   });
-  Deployment::waitUntil([&] { return Cluster.sumStarts("total") >= 16; },
+  Deployment::waitUntil([&] { return m_Cluster.sumStarts("total") >= 16; },
                         "tasks run", std::chrono::milliseconds(10000));
   Deployment::postMode(Relay, R"({"mode": "cut"})");
   const HttpResponse Answer = Job.get();
@@ -151,28 +145,27 @@
   BOOST_TEST(nlohmann::json::parse(Answer.m_Body)
                  .value("tasks", nlohmann::json::array())
                  .empty());
-  for (const auto &[Task, Count] : Cluster.startsByTask())
+  for (const auto &[Task, Count] : m_Cluster.startsByTask())
     BOOST_TEST(Count == 1U, Task << " started " << Count << " times");
 }
 
 // Guards against truncated and late answers of an endpoint that reach a caller
 // as whole ones or reach the next request on the same connection.
 BOOST_AUTO_TEST_CASE(TruncatedAndLateAnswersNeverReachACaller) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  const std::string Entry = Cluster.m_Entries[0]->m_Http;
-  Deployment::postMode(*Cluster.m_Endpoints[0], R"({"mode": "truncate"})");
+  m_Cluster.startWhole(1, 1);
+  const std::string Entry = m_Cluster.m_Entries[0]->m_Http;
+  Deployment::postMode(*m_Cluster.m_Endpoints[0], R"({"mode": "truncate"})");
   const HttpResponse Cut = Deployment::call(
       Entry, "run-ms=10 ", {{"Cyclamencroft-Non-Idempotent", "true"}});
   BOOST_TEST(outcomeOf(Cut) != "completed");
-  Deployment::postMode(*Cluster.m_Endpoints[0],
+  Deployment::postMode(*m_Cluster.m_Endpoints[0],
                        R"({"mode": "late", "late_ms": 1500})");
   const HttpResponse Late =
       Deployment::call(Entry, "run-ms=10 ",
                        {{"Cyclamencroft-Non-Idempotent", "true"},
                         {"Cyclamencroft-Deadline-Ms", "500"}});
   BOOST_TEST(outcomeOf(Late) == "unknown");
-  Deployment::postMode(*Cluster.m_Endpoints[0], R"({"mode": "normal"})");
+  Deployment::postMode(*m_Cluster.m_Endpoints[0], R"({"mode": "normal"})");
   for (std::uint64_t I = 1; I <= 20; ++I) {
     const std::string Id = RequestId{9, I}.toHex();
     const HttpResponse Next = Deployment::call(
@@ -183,25 +176,23 @@
 
 // Guards against two entries that together start more than an endpoint's slots.
 BOOST_AUTO_TEST_CASE(TwoEntriesTogetherNeverExceedTheSlots) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 1, {"--slots", "4"});
-  BackgroundLoad::Options Options = loadOn(Cluster);
+  m_Cluster.startWhole(2, 1, {"--slots", "4"});
+  BackgroundLoad::Options Options = loadOn(m_Cluster);
   Options.m_Callers = 24;
   BackgroundLoad Load(Options);
   Load.waitForCalls(200);
   const LoadResult Result = Load.stop();
   const auto Starts =
-      Deployment::getJson(Cluster.m_Endpoints[0]->m_Http, "/starts");
+      Deployment::getJson(m_Cluster.m_Endpoints[0]->m_Http, "/starts");
   BOOST_TEST(Starts.value("peak_running", 99U) <= 4U);
-  checkStarts(Cluster, Result);
+  checkStarts(m_Cluster, Result);
 }
 
 // Guards against a request path that depends on the platform's log.
 BOOST_AUTO_TEST_CASE(RequestsGoOnWhileTheLogIsDown) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 2);
-  Deployment::postMode(Cluster.m_Log, R"({"down": "reset"})");
-  BackgroundLoad Load(loadOn(Cluster));
+  m_Cluster.startWhole(2, 2);
+  Deployment::postMode(m_Cluster.m_Log, R"({"down": "reset"})");
+  BackgroundLoad Load(loadOn(m_Cluster));
   Load.waitForCalls(200);
   const LoadResult Result = Load.stop();
   BOOST_TEST(Result.count("completed") == Result.total());
--- a/tests/process/RequestPathTest.cpp
+++ b/tests/process/RequestPathTest.cpp
@@ -21,15 +21,14 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(RequestPath)
+BOOST_FIXTURE_TEST_SUITE(RequestPath, ClusterCase)
 
 // Guards against a path that loses or alters a request, its kind or its answer.
 BOOST_AUTO_TEST_CASE(RequestsAndAJobOf200TasksAreAnsweredWhole) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
+  m_Cluster.startWhole(2, 3);
   const std::string Id = RequestId{7, 7}.toHex();
   const HttpResponse Check =
-      Deployment::call(Cluster.m_Entries[0]->m_Http, "run-ms=20 ",
+      Deployment::call(m_Cluster.m_Entries[0]->m_Http, "run-ms=20 ",
                        {{"Cyclamencroft-Request-Id", Id}});
   BOOST_TEST(Check.m_Status == 200U);
   BOOST_TEST(Check.header("Cyclamencroft-Outcome") == "completed");
@@ -37,12 +36,12 @@
   BOOST_TEST(Check.m_Body.find("request=" + Id) != std::string::npos);
 
   const HttpResponse Permit = Deployment::call(
-      Cluster.m_Entries[1]->m_Http, "run-ms=20 ",
+      m_Cluster.m_Entries[1]->m_Http, "run-ms=20 ",
       {{"Cyclamencroft-Non-Idempotent", "true"}, {"Cyclamencroft-Key", "k"}});
   BOOST_TEST(Permit.header("Cyclamencroft-Outcome") == "completed");
 
   const HttpResponse Job =
-      Deployment::submit(Cluster.m_Entries[0]->m_Http,
+      Deployment::submit(m_Cluster.m_Entries[0]->m_Http,
                          std::vector<std::string>(200, "run-ms=10 "));
   BOOST_TEST(Job.m_Status == 200U);
   const auto Answer = nlohmann::json::parse(Job.m_Body);
@@ -53,23 +52,22 @@
     BOOST_TEST(Body.find("task=" + std::to_string(I) + "\n") !=
                std::string::npos);
   }
-  BOOST_TEST(Cluster.sumStarts("total") == 202U);
-  BOOST_TEST(Cluster.sumStarts("repeated") == 0U);
+  BOOST_TEST(m_Cluster.sumStarts("total") == 202U);
+  BOOST_TEST(m_Cluster.sumStarts("repeated") == 0U);
 }
 
 // Guards against a hop without a span and against spans that form no tree.
 BOOST_AUTO_TEST_CASE(SpansOfOneRequestFormOneTree) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 3);
+  m_Cluster.startWhole(2, 3);
   const std::string TraceId = "0af7651916cd43dd8448eb211c80319c";
   const std::string CallerSpan = "b7ad6b7169203331";
   Deployment::call(
-      Cluster.m_Entries[0]->m_Http, "run-ms=20 ",
+      m_Cluster.m_Entries[0]->m_Http, "run-ms=20 ",
       {{"traceparent", "00-" + TraceId + '-' + CallerSpan + "-01"}});
   // Span files are flushed when a process ends.
-  Cluster.terminateAll();
+  m_Cluster.terminateAll();
   std::map<std::string, Span> Spans;
-  for (const auto &Each : Cluster.readSpans())
+  for (const auto &Each : m_Cluster.readSpans())
     if (Each["traceId"] == TraceId)
       Spans[Each["spanId"]] = {Each["name"], Each.value("parentSpanId", "")};
   std::set<std::string> Names;
@@ -88,9 +86,8 @@
 // Guards against answers or refusals that don't say what happened, and against
 // malformed input that reaches an endpoint.
 BOOST_AUTO_TEST_CASE(MalformedCallsGetOneClearError) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  const std::string Entry = Cluster.m_Entries[0]->m_Http;
+  m_Cluster.startWhole(1, 1);
+  const std::string Entry = m_Cluster.m_Entries[0]->m_Http;
   const auto Submit = [&](const std::string &Body) {
     return Deployment::post(Entry, "/v1/services/permit-desk/jobs", {}, Body);
   };
@@ -108,24 +105,23 @@
   const HttpResponse TooLarge = Deployment::call(
       Entry, "run-ms=1 ", {{"Cyclamencroft-Need", "cores=4000"}});
   BOOST_TEST(TooLarge.m_Status == 422U);
-  BOOST_TEST(Cluster.sumStarts("total") == 0U);
+  BOOST_TEST(m_Cluster.sumStarts("total") == 0U);
 }
 
 // Guards against a client that gives up, or runs a call twice, because the
 // first of its entries is gone.
 BOOST_AUTO_TEST_CASE(ClientMovesOnFromAnEntryThatIsGone) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 1);
+  m_Cluster.startWhole(2, 1);
   const Client Entries(
-      {Cluster.m_Entries[0]->m_Http, Cluster.m_Entries[1]->m_Http});
-  Cluster.m_Entries[0]->m_Process->kill();
+      {m_Cluster.m_Entries[0]->m_Http, m_Cluster.m_Entries[1]->m_Http});
+  m_Cluster.m_Entries[0]->m_Process->kill();
   ClientRequest Permit;
   Permit.m_Fields.m_Service = "permit-desk";
   Permit.m_NonIdempotent = true;
   const auto Answer = Entries.request(Permit);
   BOOST_REQUIRE(Answer);
   BOOST_TEST(Answer->m_Response.header("Cyclamencroft-Outcome") == "completed");
-  BOOST_TEST(Cluster.sumStarts("total") == 1U);
+  BOOST_TEST(m_Cluster.sumStarts("total") == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/ShutdownTest.cpp
+++ b/tests/process/ShutdownTest.cpp
@@ -48,60 +48,57 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(Shutdown)
+BOOST_FIXTURE_TEST_SUITE(Shutdown, ClusterCase)
 
 // Guards against an entry that ends before its callers have their answers.
 BOOST_AUTO_TEST_CASE(EntryFinishesWhatIsInFlight) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 2);
-  LongRequests Calls(Cluster.m_Entries[0]->m_Http, 8);
-  waitForStarts(Cluster, 8);
-  Cluster.m_Entries[0]->m_Process->sendSignal(SIGTERM);
+  m_Cluster.startWhole(2, 2);
+  LongRequests Calls(m_Cluster.m_Entries[0]->m_Http, 8);
+  waitForStarts(m_Cluster, 8);
+  m_Cluster.m_Entries[0]->m_Process->sendSignal(SIGTERM);
   BOOST_TEST(Calls.completed() == 8U);
-  BOOST_REQUIRE(Cluster.m_Entries[0]->m_Process->waitForExit(DrainLimit));
-  BOOST_TEST(Cluster.m_Entries[0]->m_Process->exitCode() == 0);
+  BOOST_REQUIRE(m_Cluster.m_Entries[0]->m_Process->waitForExit(DrainLimit));
+  BOOST_TEST(m_Cluster.m_Entries[0]->m_Process->exitCode() == 0);
   const HttpResponse Other =
-      Deployment::call(Cluster.m_Entries[1]->m_Http, "run-ms=10 ");
+      Deployment::call(m_Cluster.m_Entries[1]->m_Http, "run-ms=10 ");
   BOOST_TEST(outcomeOf(Other) == "completed");
 }
 
 // Guards against an agent that cuts off running tasks or keeps what it had not
 // started.
 BOOST_AUTO_TEST_CASE(AgentFinishesWhatRunsAndTakesNothingNew) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 2);
-  LongRequests Calls(Cluster.m_Entries[0]->m_Http, 8);
-  waitForStarts(Cluster, 8);
-  Cluster.m_Agents[0]->m_Process->sendSignal(SIGTERM);
+  m_Cluster.startWhole(2, 2);
+  LongRequests Calls(m_Cluster.m_Entries[0]->m_Http, 8);
+  waitForStarts(m_Cluster, 8);
+  m_Cluster.m_Agents[0]->m_Process->sendSignal(SIGTERM);
   BackgroundLoad::Options Options;
-  Options.m_Entries = {Cluster.m_Entries[0]->m_Http,
-                       Cluster.m_Entries[1]->m_Http};
+  Options.m_Entries = {m_Cluster.m_Entries[0]->m_Http,
+                       m_Cluster.m_Entries[1]->m_Http};
   BackgroundLoad Load(Options);
   Load.waitForCalls(50);
   BOOST_TEST(Calls.completed() == 8U);
-  BOOST_REQUIRE(Cluster.m_Agents[0]->m_Process->waitForExit(DrainLimit));
-  BOOST_TEST(Cluster.m_Agents[0]->m_Process->exitCode() == 0);
+  BOOST_REQUIRE(m_Cluster.m_Agents[0]->m_Process->waitForExit(DrainLimit));
+  BOOST_TEST(m_Cluster.m_Agents[0]->m_Process->exitCode() == 0);
   const LoadResult Result = Load.stop();
   BOOST_TEST(Result.count("completed") == Result.total());
 }
 
 // Guards against new work at an endpoint that said that it is leaving.
 BOOST_AUTO_TEST_CASE(LeavingEndpointReceivesNoNewWork) {
-  Deployment Cluster;
-  Cluster.startWhole(2, 2);
+  m_Cluster.startWhole(2, 2);
   BackgroundLoad::Options Options;
-  Options.m_Entries = {Cluster.m_Entries[0]->m_Http,
-                       Cluster.m_Entries[1]->m_Http};
+  Options.m_Entries = {m_Cluster.m_Entries[0]->m_Http,
+                       m_Cluster.m_Entries[1]->m_Http};
   BackgroundLoad Load(Options);
   Load.waitForCalls(50);
-  Deployment::postMode(*Cluster.m_Endpoints[0], R"({"mode": "leave"})");
+  Deployment::postMode(*m_Cluster.m_Endpoints[0], R"({"mode": "leave"})");
   std::this_thread::sleep_for(std::chrono::seconds(2));
   const auto Before =
-      Deployment::getJson(Cluster.m_Endpoints[0]->m_Http, "/starts");
+      Deployment::getJson(m_Cluster.m_Endpoints[0]->m_Http, "/starts");
   Load.waitForCalls(300);
   const LoadResult Result = Load.stop();
   const auto After =
-      Deployment::getJson(Cluster.m_Endpoints[0]->m_Http, "/starts");
+      Deployment::getJson(m_Cluster.m_Endpoints[0]->m_Http, "/starts");
   BOOST_TEST(Before["total"].get<int>() > 0);
   BOOST_TEST(Before["total"] == After["total"]);
   BOOST_TEST(Result.count("completed") == Result.total());
@@ -110,18 +107,17 @@
 // Guards against a maintenance preset that cuts off requests in flight or that
 // leaves work flowing to the drained failure domain.
 BOOST_AUTO_TEST_CASE(MaintenancePresetDrainsAFailureDomain) {
-  Deployment Cluster;
-  Cluster.startLog();
-  Cluster.startEntry();
-  Cluster.startEndpoint(Cluster.startAgent({}, "quimper-a"));
-  Cluster.startEndpoint(Cluster.startAgent({}, "quimper-b"));
-  BOOST_REQUIRE(Cluster.publish(Deployment::TestConfiguration) == 0);
-  Cluster.waitForAgents(2);
-  const std::string Entry = Cluster.m_Entries[0]->m_Http;
+  m_Cluster.startLog();
+  m_Cluster.startEntry();
+  m_Cluster.startEndpoint(m_Cluster.startAgent({}, "quimper-a"));
+  m_Cluster.startEndpoint(m_Cluster.startAgent({}, "quimper-b"));
+  BOOST_REQUIRE(m_Cluster.publish(Deployment::TestConfiguration) == 0);
+  m_Cluster.waitForAgents(2);
+  const std::string Entry = m_Cluster.m_Entries[0]->m_Http;
   LongRequests Calls(Entry, 12);
-  waitForStarts(Cluster, 12);
-  BOOST_REQUIRE(Cluster.runCli({"preset", "switch", "maintenance", "--log",
-                                Cluster.m_Log.m_Http}) == 0);
+  waitForStarts(m_Cluster, 12);
+  BOOST_REQUIRE(m_Cluster.runCli({"preset", "switch", "maintenance", "--log",
+                                  m_Cluster.m_Log.m_Http}) == 0);
   Deployment::waitUntil(
       [&] {
         return Deployment::getJson(Entry, "/v1/status").value("preset", "") ==
@@ -130,23 +126,22 @@
       "the preset is in effect", std::chrono::milliseconds(7000));
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
   const auto Before =
-      Deployment::getJson(Cluster.m_Endpoints[1]->m_Http, "/starts");
+      Deployment::getJson(m_Cluster.m_Endpoints[1]->m_Http, "/starts");
   BackgroundLoad Load({{Entry}, 4, "run-ms=20 ", true});
   Load.waitForCalls(100);
   const LoadResult Result = Load.stop();
   BOOST_TEST(Calls.completed() == 12U);
   BOOST_TEST(Result.count("completed") == Result.total());
-  BOOST_TEST(
-      Before["total"] ==
-      Deployment::getJson(Cluster.m_Endpoints[1]->m_Http, "/starts")["total"]);
+  BOOST_TEST(Before["total"] ==
+             Deployment::getJson(m_Cluster.m_Endpoints[1]->m_Http,
+                                 "/starts")["total"]);
 }
 
 // Guards against a process that can't be ended at once, or that cuts work off
 // without saying so.
 BOOST_AUTO_TEST_CASE(SecondSignalEndsAtOnceAndSaysWhatItCut) {
-  Deployment Cluster;
-  Cluster.startWhole(1, 1);
-  const std::string Entry = Cluster.m_Entries[0]->m_Http;
+  m_Cluster.startWhole(1, 1);
+  const std::string Entry = m_Cluster.m_Entries[0]->m_Http;
   auto Call = std::async(std::launch::async, [Entry] {
     try {
       return outcomeOf(Deployment::call(Entry, "run-ms=8000 "));
@@ -154,8 +149,8 @@
       return std::string("no-answer");
     }
   });
-  waitForStarts(Cluster, 1);
-  ChildProcess &Process = *Cluster.m_Entries[0]->m_Process;
+  waitForStarts(m_Cluster, 1);
+  ChildProcess &Process = *m_Cluster.m_Entries[0]->m_Process;
   Process.sendSignal(SIGTERM);
   BOOST_TEST(!Process.waitForExit(std::chrono::milliseconds(300)));
   Process.sendSignal(SIGTERM);
--- a/tests/process/support/Deployment.h
+++ b/tests/process/support/Deployment.h
@@ -110,4 +110,9 @@
   std::size_t m_Started = 0;
 };
 
+/// Fixture of suites whose cases each have a deployment of their own.
+struct ClusterCase {
+  Deployment m_Cluster;
+};
+
 } // namespace cyclamencroft::test
--- a/tests/session/EntryNode.cpp
+++ b/tests/session/EntryNode.cpp
@@ -64,12 +64,12 @@
 }
 
 void EntryNode::onClosed(LinkId Link) {
-  if (m_Greeted.erase(Link) > 0)
+  if (m_HelloReceived.erase(Link) > 0)
     feed(LinkClosed{Link});
 }
 
 void EntryNode::onMessage(LinkId Link, const LinkMessage &Message) {
-  if (m_Greeted.insert(Link).second) {
+  if (m_HelloReceived.insert(Link).second) {
     firstMessage(Link, Message);
     return;
   }
--- a/tests/session/EntryNode.h
+++ b/tests/session/EntryNode.h
@@ -45,7 +45,7 @@
   EntryOptions m_Options;
   EntryCore m_Core;
   /// Links whose hello has arrived.
-  std::set<LinkId> m_Greeted;
+  std::set<LinkId> m_HelloReceived;
 };
 
 } // namespace cyclamencroft::session
--- a/tests/unit/EntryAgentsTest.cpp
+++ b/tests/unit/EntryAgentsTest.cpp
@@ -148,4 +148,18 @@
   BOOST_TEST(m_Entry.sent<ConfigView>(Agent).size() == 3U);
 }
 
+// Guards against operators who can't tell why an agent gets no work.
+BOOST_AUTO_TEST_CASE(ReportNamesWhatKeepsWorkFromAnAgent) {
+  const LinkId Lost = m_Entry.connect("a");
+  const LinkId Leaving = m_Entry.connect("b");
+  m_Entry.connect("c");
+  m_Entry.close(Lost);
+  m_Entry.receive(Leaving, AgentStatus{AgentState::Leaving, 1, 0});
+  const auto Reports = m_Entry.agents();
+  BOOST_REQUIRE(Reports.size() == 3U);
+  BOOST_TEST(Reports[0].m_State == "link-lost");
+  BOOST_TEST(Reports[1].m_State == "leaving");
+  BOOST_TEST(Reports[2].m_State == "available");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/EntryHarness.h
+++ b/tests/unit/EntryHarness.h
@@ -87,6 +87,7 @@
   bool logged(std::string_view Event) const;
 
   EntryStatus status() const { return m_Core.status(); }
+  std::vector<AgentReport> agents() const { return m_Core.agents(); }
   TimePoint now() const { return m_Now; }
 
 private:
