--- a/src/agent/AgentLinks.cpp
+++ b/src/agent/AgentLinks.cpp
@@ -155,7 +155,8 @@
 }
 
 TimePoint AgentCore::Impl::silenceEnd(const EntrySession &Session) const {
-  const bool AwaitsAnswer = !Session.m_HelloReceived || Session.m_ServiceChangePing;
+  const bool AwaitsAnswer =
+      !Session.m_HelloReceived || Session.m_ServiceChangePing;
   return Session.m_LastHeard + (AwaitsAnswer ? AnswerLimit : SilenceLimit);
 }
 
