Share the signal wait of the stand-ins and the sample messages of the tools

Relay and log stand-in each had the same code that blocks and waits for signals, and two measuring tools built the same dispatch. Both stand once now. Ruled out: sharing the daemons' signal handling too, which drains on the first signal and ends on the second.

--- a/tools/capacity-measure/Main.cpp
+++ b/tools/capacity-measure/Main.cpp
@@ -6,6 +6,7 @@
 //                                          agents, idle time, changes, jobs
 //   restart LINK AGENTS PID-FILE           agents that outlive their entry
 // tools/capacity starts the processes around it.
+#include "../common/SampleMessages.h"
 #include "AgentFleet.h"
 #include "ProcessUsage.h"
 
@@ -80,14 +81,7 @@
   QuotaReport Report;
   for (int Team = 0; Team < Teams; ++Team)
     Report.m_Demands.push_back({"team-" + std::to_string(Team), 203});
-  Dispatch Task;
-  Task.m_Sequence = 123456;
-  Task.m_Floor = 123400;
-  Task.m_Request = {0x123456789abcdef0, 0xfedcba9876543210};
-  Task.m_SentAt = RuntimeClock::now();
-  Task.m_TimeLeft = std::chrono::seconds(1);
-  Task.m_Trace = {Task.m_Request, 0xabcdef0123456789};
-  Task.m_Body = makePayload(std::string(100, 'x'));
+  const Dispatch Task = sampleDispatch();
   TaskResult Result;
   Result.m_Sequence = 123456;
   Result.m_HttpStatus = 200;
--- a/tools/link-measure/Main.cpp
+++ b/tools/link-measure/Main.cpp
@@ -4,6 +4,7 @@
 //   cyclamencroft-link-measure serve             prints its port, then reports
 //   cyclamencroft-link-measure idle PORT LINKS   opens links and holds them
 //   cyclamencroft-link-measure call PORT FRAMES MESSAGES
+#include "../common/SampleMessages.h"
 #include "link/LinkClient.h"
 #include "link/LinkServer.h"
 
@@ -106,18 +107,6 @@
   return 0;
 }
 
-Dispatch sampleDispatch() {
-  Dispatch Task;
-  Task.m_Sequence = 123456;
-  Task.m_Floor = 123400;
-  Task.m_Request = {0x123456789abcdef0, 0xfedcba9876543210};
-  Task.m_SentAt = RuntimeClock::now();
-  Task.m_TimeLeft = std::chrono::seconds(1);
-  Task.m_Trace = {Task.m_Request, 0xabcdef0123456789};
-  Task.m_Body = makePayload(std::string(100, 'x'));
-  return Task;
-}
-
 /// Sends the next frame of a link when the answer to the last one is here, so
 /// that frames don't coalesce in the send queue.
 int callFrames(const std::string &Address, int Frames, int Messages) {
--- a/tools/relay/Main.cpp
+++ b/tools/relay/Main.cpp
@@ -1,10 +1,10 @@
 // Runs a relay until SIGINT or SIGTERM.
 #include "bench/Relay.h"
+#include "core/TerminationSignals.h"
 #include "telemetry/EventLog.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <exception>
 
 int main(int Count, char **Arguments) {
@@ -23,20 +23,14 @@
       ->capture_default_str();
   CLI11_PARSE(App, Count, Arguments);
 
-  // Blocked before the relay starts its thread, so that sigwait() gets them.
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGINT);
-  sigaddset(&Signals, SIGTERM);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  const TerminationSignals Signals;
   EventLog::open("", "relay");
   try {
     const Relay Running(Options);
     logEvent(
         LogLevel::Info, "listening",
         {{"relay", Running.address()}, {"control", Running.controlAddress()}});
-    int Signal = 0;
-    sigwait(&Signals, &Signal);
+    Signals.wait();
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "failed", {{"reason", Fault.what()}});
     return 1;
--- a/tools/standin-log/Main.cpp
+++ b/tools/standin-log/Main.cpp
@@ -1,11 +1,10 @@
 // Runs the stand-in of the platform's log until SIGINT or SIGTERM.
 #include "bench/StandinLog.h"
+#include "core/TerminationSignals.h"
 #include "telemetry/EventLog.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
-
 int main(int Count, char **Arguments) {
   using namespace cyclamencroft;
   StandinLogOptions Options;
@@ -28,18 +27,12 @@
   CLI11_PARSE(App, Count, Arguments);
   Options.m_AppendTime = std::chrono::milliseconds(AppendMs);
 
-  // Blocked before the log starts its thread, so that sigwait() gets them.
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGINT);
-  sigaddset(&Signals, SIGTERM);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  const TerminationSignals Signals;
   EventLog::open("", "standin-log");
   try {
     const StandinLog Log(Options);
     logEvent(LogLevel::Info, "listening", {{"http", Log.address()}});
-    int Signal = 0;
-    sigwait(&Signals, &Signal);
+    Signals.wait();
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "failed", {{"reason", Fault.what()}});
     return 1;
