--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -19,6 +19,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
+std::string cores(std::uint64_t MilliCores) {
+  return std::to_string(MilliCores / MilliCoresPerCore);
+}
+
 WorkAmount waitingWork(const JobRecord &Job) {
   WorkAmount Work = 0;
   for (std::size_t Number = 0; Number < Job.m_Steps.size(); ++Number) {
@@ -134,10 +138,15 @@
 
 void JobCore::Impl::refuse(const JobOffered &Event, const Refusal &Why) {
   ++m_Counters.m_JobsNotRun;
+  const RoomSummary Room =
+      Placement::summarize(m_Rows, Event.m_Queue->m_Policy.m_Service);
   log("job-refused", {{"job", toHex(Event.m_Job.m_Id)},
                       {"queue", Event.m_Queue->m_Policy.m_Name},
                       {"reason", Why.m_Reason},
                       {"waiting-jobs", std::to_string(m_Waiting.size())},
+                      {"endpoints", std::to_string(Room.m_Endpoints)},
+                      {"cores", cores(Room.m_MilliCores)},
+                      {"free-cores", cores(Room.m_FreeMilliCores)},
                       {"retry-after-ms", milliseconds(Why.m_RetryAfter)}});
   sendAnswer(Event.m_Caller, Event.m_Job.m_Id, JobOutcome::NotRun, Why.m_Reason,
              Why.m_RetryAfter);
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -195,6 +195,21 @@
   return Best;
 }
 
+RoomSummary Placement::summarize(const std::vector<RunnerRow> &Rows,
+                                 std::string_view Service) {
+  RoomSummary Sum;
+  for (const RunnerRow &Row : Rows) {
+    if (!Row.takesRuns() || Row.m_Verdict != EndpointVerdict::Sound ||
+        Row.m_Endpoint.m_Service != Service)
+      continue;
+    ++Sum.m_Endpoints;
+    Sum.m_MilliCores += Row.m_Endpoint.m_Room.m_MilliCores;
+    Sum.m_FreeMilliCores +=
+        (Row.m_Endpoint.m_Room - Row.demand()).m_MilliCores;
+  }
+  return Sum;
+}
+
 Fit Placement::fit(const std::vector<RunnerRow> &Rows, std::string_view Service,
                    const StepDeclaration &Step) {
   Fit Result = Fit::NoEndpoint;
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -31,6 +31,12 @@
   NoEndpoint, ///< No endpoint of the service is known.
 };
 
+struct RoomSummary {
+  std::uint32_t m_Endpoints = 0;
+  std::uint64_t m_MilliCores = 0;
+  std::uint64_t m_FreeMilliCores = 0;
+};
+
 std::string_view toString(EndpointVerdict Verdict);
 
 class Placement {
@@ -43,6 +49,11 @@
   static Fit fit(const std::vector<RunnerRow> &Rows, std::string_view Service,
                  const StepDeclaration &Step);
 
+  /// Cores of the service's sound endpoints that are in use, waited for or free,
+  /// as far as is known.
+  static RoomSummary summarize(const std::vector<RunnerRow> &Rows,
+                               std::string_view Service);
+
   /// Learns what is usual over all endpoints. Looks at every row, so it is
   /// called from time to time and not for each choice.
   void learnUsual(const std::vector<RunnerRow> &Rows);
