Keep copies of the configuration at agents

Ruled out: links between entries (a second mesh), copies at every agent (60 KB a change to each, between failure domains), the store itself (it is what is away). Change: an entry sends what it adopts to two agents of its failure domain; agents tell entries the version they hold, and an entry that has none, or an older one for 200 ms, asks for it. The first unknown message number of a codec test follows the variant now. Conclusion: service during an outage no longer depends on entries that outlive it.

--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -54,6 +54,7 @@
 JobCoreOptions makeOptions(const JobEntrySettings &Settings) {
   JobCoreOptions Options;
   Options.m_EntryId = Settings.m_Id;
+  Options.m_FailureDomain = Settings.m_FailureDomain;
   Options.m_Incarnation = Incarnation{drawNumber()};
   Options.m_EndpointLease = Settings.m_EndpointLease;
   Options.m_Seed = drawNumber();
@@ -79,9 +80,10 @@
         m_ShutdownTimer(m_CoreIo), m_Signals(m_CoreIo, SIGTERM, SIGINT),
         m_Reload(m_CoreIo, Settings.m_Id),
         m_Links(m_CoreIo, Settings.m_LinkListen, linkHandlers()),
-        m_Follower(m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
-                   {platform::OperatorTopic, platform::ConfigurationKey},
-                   [this](const KeyedRecord &Record) { adopt(Record); }),
+        m_Follower(
+            m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
+            {platform::OperatorTopic, platform::ConfigurationKey},
+            [this](const KeyedRecord &Record) { adopt(Record, "store"); }),
         m_Announcer(m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
                     platform::EntriesTopic,
                     {Settings.m_Id, Settings.m_LinkListen}),
@@ -227,6 +229,12 @@
     flushLinks();
     m_Links.close(Command.m_Link, Command.m_Reason);
   }
+  void carryOut(ConfigReceived &Command) {
+    KeyedRecord Copy{platform::ConfigurationKey, std::move(Command.m_Document),
+                     Command.m_Offset};
+    asio::post(m_CoreIo,
+               [this, Copy = std::move(Copy)] { adopt(Copy, "agent"); });
+  }
   void carryOut(const LogDecision &Command) {
     EventLog::write(LogLevel::Info, Command.m_Event, Command.m_Fields);
   }
@@ -305,10 +313,11 @@
     m_Metrics.set("retries_total", Status.m_Retries);
   }
 
-  void adopt(const KeyedRecord &Record) {
+  void adopt(const KeyedRecord &Record, const char *Source) {
     const auto Read = platform::readConfiguration(Record.m_Value);
     if (const auto *Fault = std::get_if<std::string>(&Read)) {
-      logEvent(LogLevel::Error, "config-rejected", {{"reason", *Fault}});
+      logEvent(LogLevel::Error, "config-rejected",
+               {{"source", Source}, {"reason", *Fault}});
       return;
     }
     const auto &New = std::get<QueueTablePtr>(Read);
@@ -319,8 +328,10 @@
     m_Queues.replace(std::make_unique<const QueueTablePtr>(New));
     logEvent(LogLevel::Info, "config-adopted",
              {{"version", std::to_string(New->version())},
+              {"source", Source},
               {"queues", std::to_string(New->size())},
               {"offset", std::to_string(Record.m_Offset)}});
+    feed(ConfigInForce{New->version(), Record.m_Offset, Record.m_Value});
     updateReadiness();
   }
 
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -152,7 +152,8 @@
   std::uint64_t m_Number = 0;
 };
 
-/// A whole configuration, from entry to entry.
+/// A whole configuration, from entry to entry, or between an entry and an agent
+/// that keeps a copy.
 struct ConfigTransfer {
   ConfigVersion m_Version = 0;
   /// Log offset up to which this is the state.
@@ -244,12 +245,22 @@
   TimePoint m_SentAt{};
 };
 
+/// Version of the configuration that the sending agent keeps a copy of.
+struct ConfigHeld {
+  ConfigVersion m_Version = 0;
+};
+
+/// Asks an agent for the copy of the configuration that it keeps; it answers
+/// with a ConfigTransfer.
+struct ConfigRequest {};
+
 /// Order is the wire type number; append only.
 using LinkMessage =
     std::variant<AgentHello, EntryHello, Dispatch, TaskResult, TaskRefused,
                  CancelTasks, Reconcile, ReconcileReply, AgentStatus,
                  ConfigView, Heartbeat, Ping, Pong, ConfigTransfer, QuotaReport,
                  Goodbye, RunnerHello, EndpointReport, LoadReport, StartTask,
-                 TaskEnded, StopJob, StopRun, EntryLease>;
+                 TaskEnded, StopJob, StopRun, EntryLease, ConfigHeld,
+                 ConfigRequest>;
 
 } // namespace cyclamencroft
--- /dev/null
+++ b/src/jobs/JobConfigCopies.cpp
@@ -0,0 +1,121 @@
+// Copies of the configuration at agents. Answers an outage of the store in
+// which entries start, or in which the store turns some of them away: they take
+// the newest copy that an agent has.
+#include "jobs/JobCoreImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamencroft {
+namespace {
+
+/// Agents that keep a copy for one entry: one may be lost with its host. More
+/// of them would only add bytes.
+constexpr std::size_t WantedCopies = 2;
+
+/// The store tells of a change at the same time as agents; an entry that has a
+/// configuration gives the store this long, so that it isn't sent twice.
+constexpr Duration StoreHeadStart = std::chrono::milliseconds(200);
+
+/// An agent that does not answer for this long is asked again, or another one.
+constexpr Duration CopyAnswerLimit = std::chrono::milliseconds(300);
+
+} // namespace
+
+void JobCore::Impl::onEvent(const ConfigInForce &Event) {
+  m_Config = Event;
+  placeCopies();
+}
+
+void JobCore::Impl::onMessage(RunnerIndex Index, const ConfigHeld &Message) {
+  RunnerRow &Row = m_Rows[Index];
+  if (std::exchange(Row.m_ConfigHeld, Message.m_Version) != Message.m_Version)
+    Row.m_ConfigHeldAt = m_Now;
+  requestConfig();
+}
+
+void JobCore::Impl::onMessage(RunnerIndex Index,
+                              const ConfigTransfer &Message) {
+  RunnerRow &Row = m_Rows[Index];
+  // A copy is asked for once: one that can't be read stays so.
+  Row.m_ConfigHeld = 0;
+  Row.m_ConfigSent = std::max(Row.m_ConfigSent, Message.m_Version);
+  m_ConfigAskedAt = TimePoint::max();
+  const bool Newer = Message.m_Version > m_Config.m_Version;
+  log("config-copy-received",
+      {{"agent", Row.m_AgentId},
+       {"version", std::to_string(Message.m_Version)},
+       {"version-in-force", std::to_string(m_Config.m_Version)},
+       {"outcome", Newer ? "offered" : "ignored"}});
+  if (Newer)
+    m_Commands->emplace_back(
+        ConfigReceived{Message.m_Offset, Message.m_Document});
+}
+
+void JobCore::Impl::placeCopies() {
+  if (m_Config.m_Version == 0)
+    return;
+  for (std::size_t Copies = countCopies(); Copies < WantedCopies; ++Copies) {
+    const std::optional<RunnerIndex> Keeper = nextKeeper();
+    if (!Keeper)
+      return;
+    RunnerRow &Row = m_Rows[*Keeper];
+    Row.m_ConfigSent = m_Config.m_Version;
+    log("config-copy-sent", {{"agent", Row.m_AgentId},
+                             {"version", std::to_string(m_Config.m_Version)}});
+    send(Row, ConfigTransfer{m_Config.m_Version, m_Config.m_Offset, "",
+                             m_Config.m_Document});
+  }
+}
+
+std::size_t JobCore::Impl::countCopies() const {
+  const auto Keeps = [this](const RunnerRow &Row) {
+    return Row.m_Link &&
+           std::max(Row.m_ConfigHeld, Row.m_ConfigSent) >= m_Config.m_Version;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(m_Rows.begin(), m_Rows.end(), Keeps));
+}
+
+/// Agents of the entry's own failure domain only: copies elsewhere would cost
+/// bytes between domains. The entries of a domain choose the same ones.
+std::optional<RunnerIndex> JobCore::Impl::nextKeeper() const {
+  std::optional<RunnerIndex> Best;
+  for (RunnerIndex Index = 0; Index < m_Rows.size(); ++Index) {
+    const RunnerRow &Row = m_Rows[Index];
+    if (!Row.m_Link || Row.m_Suspected ||
+        Row.m_Endpoint.m_FailureDomain != m_Options.m_FailureDomain ||
+        std::max(Row.m_ConfigHeld, Row.m_ConfigSent) >= m_Config.m_Version)
+      continue;
+    if (!Best || Row.m_AgentId < m_Rows[*Best].m_AgentId)
+      Best = Index;
+  }
+  return Best;
+}
+
+/// Asks the agent with the newest copy, when it is newer than what is in force.
+void JobCore::Impl::requestConfig() {
+  if (m_ConfigAskedAt != TimePoint::max() &&
+      m_Now - m_ConfigAskedAt < CopyAnswerLimit)
+    return;
+  const auto Newest = std::max_element(
+      m_Rows.begin(), m_Rows.end(), [](const RunnerRow &A, const RunnerRow &B) {
+        return (A.m_Link ? A.m_ConfigHeld : 0) <
+               (B.m_Link ? B.m_ConfigHeld : 0);
+      });
+  if (Newest == m_Rows.end() || !Newest->m_Link ||
+      Newest->m_ConfigHeld <= m_Config.m_Version) {
+    m_ConfigAskedAt = TimePoint::max();
+    return;
+  }
+  if (m_Config.m_Version > 0 && m_Now - Newest->m_ConfigHeldAt < StoreHeadStart)
+    return;
+  m_ConfigAskedAt = m_Now;
+  log("config-copy-requested",
+      {{"agent", Newest->m_AgentId},
+       {"version", std::to_string(Newest->m_ConfigHeld)},
+       {"version-in-force", std::to_string(m_Config.m_Version)}});
+  send(*Newest, ConfigRequest{});
+}
+
+} // namespace cyclamencroft
--- a/src/jobs/JobCore.h
+++ b/src/jobs/JobCore.h
@@ -15,6 +15,8 @@
 
 struct JobCoreOptions {
   std::string m_EntryId;
+  /// Agents there keep copies of the configuration.
+  std::string m_FailureDomain;
   Incarnation m_Incarnation{};
   /// Longest lease that endpoints grant to runs without a word of their agent.
   Duration m_EndpointLease{std::chrono::seconds(1)};
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -1,6 +1,7 @@
 // State and steps of the scheduler of an entry. JobCore.cpp holds events and
 // timers, JobAdmission.cpp new jobs, JobDispatch.cpp the start of tasks,
-// JobRuns.cpp their ends, JobAnswers.cpp answers, JobRunners.cpp agents.
+// JobRuns.cpp their ends, JobAnswers.cpp answers, JobRunners.cpp agents,
+// JobConfigCopies.cpp what agents keep of the configuration.
 #pragma once
 
 #include "jobs/JobCore.h"
@@ -37,6 +38,7 @@
   void onEvent(const RunnerConnected &Event);
   void onEvent(const MessageReceived &Event);
   void onEvent(const LinkClosed &Event);
+  void onEvent(const ConfigInForce &Event);
   void onEvent(const ShutdownRequested &Event);
   void onEvent(const Tick &Event);
   void noteSuspension();
@@ -97,6 +99,17 @@
   template <class T> void onMessage(RunnerIndex Index, const T &) {
     dropRunner(Index, "message of a type that run agents don't send");
   }
+
+  // Copies of the configuration.
+  void onMessage(RunnerIndex Index, const ConfigHeld &Message);
+  void onMessage(RunnerIndex Index, const ConfigTransfer &Message);
+  void placeCopies();
+  /// Agents that keep the version in force or were sent it.
+  std::size_t countCopies() const;
+  /// The next agent to be sent a copy; nothing when none is within reach.
+  std::optional<RunnerIndex> nextKeeper() const;
+  void requestConfig();
+
   RunnerIndex rowOf(const RunnerHello &Hello);
   void reconcile(RunnerIndex Index, const RunnerHello &Hello);
   void takeEndpoint(RunnerIndex Index, const EndpointView &Endpoint);
@@ -130,6 +143,11 @@
   std::unordered_map<LinkId, RunnerIndex> m_RowByLink;
   TimePoint m_NextCheck{};
 
+  /// In force; the version is 0 before the first one.
+  ConfigInForce m_Config;
+  /// An agent was asked for its copy; max() when no answer is awaited.
+  TimePoint m_ConfigAskedAt = TimePoint::max();
+
   Placement m_Placement;
   WaitForecast m_Forecast;
   /// Invariant: sum over the runs of all rows.
--- a/src/jobs/JobEvents.h
+++ b/src/jobs/JobEvents.h
@@ -32,9 +32,18 @@
   RunnerHello m_Hello;
 };
 
-using JobEvent =
-    std::variant<JobOffered, JobCancelled, CallerGone, RunnerConnected,
-                 MessageReceived, LinkClosed, ShutdownRequested, Tick>;
+/// The configuration that the entry has put into force.
+struct ConfigInForce {
+  ConfigVersion m_Version = 0;
+  /// Offset of its record in the store.
+  std::uint64_t m_Offset = 0;
+  /// As the operators published it.
+  std::string m_Document;
+};
+
+using JobEvent = std::variant<JobOffered, JobCancelled, CallerGone,
+                              RunnerConnected, MessageReceived, LinkClosed,
+                              ConfigInForce, ShutdownRequested, Tick>;
 
 /// How the entry is done with a job.
 enum class JobOutcome : std::uint8_t {
@@ -61,7 +70,13 @@
   Duration m_RetryAfter{};
 };
 
-using JobCommand =
-    std::variant<JobAnswer, SendMessage, CloseLink, LogDecision, Drained>;
+/// A newer configuration than the one in force, from an agent's copy.
+struct ConfigReceived {
+  std::uint64_t m_Offset = 0;
+  std::string m_Document;
+};
+
+using JobCommand = std::variant<JobAnswer, SendMessage, CloseLink,
+                                ConfigReceived, LogDecision, Drained>;
 
 } // namespace cyclamencroft
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -49,9 +49,12 @@
   Row.m_HeardAt = m_Now;
   Row.m_AskedAt = TimePoint::max();
   Row.m_Suspected = false;
+  Row.m_ConfigHeld = 0;
+  Row.m_ConfigSent = 0;
   EntryHello Hello;
   Hello.m_EntryId = m_Options.m_EntryId;
   Hello.m_Incarnation = m_Options.m_Incarnation;
+  Hello.m_ConfigVersion = m_Config.m_Version;
   Hello.m_SentAt = m_Now;
   Row.m_LeaseSentAt = m_Now;
   send(Row, std::move(Hello));
@@ -63,6 +66,7 @@
   reconcile(Index, Event.m_Hello);
   takeEndpoint(Index, Event.m_Hello.m_Endpoint);
   takeLoad(m_Rows[Index], Event.m_Hello.m_Load);
+  placeCopies();
 }
 
 RunnerIndex JobCore::Impl::rowOf(const RunnerHello &Hello) {
@@ -192,6 +196,8 @@
   m_Placement.learnUsual(m_Rows);
   for (RunnerIndex Index = 0; Index < m_Rows.size(); ++Index)
     checkRunner(Index);
+  placeCopies();
+  requestConfig();
 }
 
 void JobCore::Impl::checkRunner(RunnerIndex Index) {
--- a/src/jobs/RunnerRow.h
+++ b/src/jobs/RunnerRow.h
@@ -48,6 +48,12 @@
   };
   std::deque<UnseenStart> m_Unseen;
 
+  /// Version of the configuration of which the agent says that it keeps a copy.
+  ConfigVersion m_ConfigHeld = 0;
+  TimePoint m_ConfigHeldAt{};
+  /// Version that was sent to it, or came from it, on the present link.
+  ConfigVersion m_ConfigSent = 0;
+
   TimePoint m_HeardAt{};
   /// First message since then that asks for an answer; max() for none.
   TimePoint m_AskedAt = TimePoint::max();
--- a/src/link/LinkCodec.cpp
+++ b/src/link/LinkCodec.cpp
@@ -20,7 +20,8 @@
     "AgentStatus", "ConfigView",     "Heartbeat",   "Ping",
     "Pong",        "ConfigTransfer", "QuotaReport", "Goodbye",
     "RunnerHello", "EndpointReport", "LoadReport",  "StartTask",
-    "TaskEnded",   "StopJob",        "StopRun",     "EntryLease"};
+    "TaskEnded",   "StopJob",        "StopRun",     "EntryLease",
+    "ConfigHeld",  "ConfigRequest"};
 
 template <class T> struct IsVector : std::false_type {};
 template <class T> struct IsVector<std::vector<T>> : std::true_type {};
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -156,6 +156,10 @@
   template <class M> void visit(M &Message, EntryLease *) const {
     m_Visit("sent at", Message.m_SentAt);
   }
+  template <class M> void visit(M &Message, ConfigHeld *) const {
+    m_Visit("config version", Message.m_Version);
+  }
+  template <class M> void visit(M &, ConfigRequest *) const {}
   template <class M> void visit(M &Message, TaskName *) const {
     m_Visit("job", Message.m_Job);
     m_Visit("step", Message.m_Step);
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -75,6 +75,8 @@
   void onMessage(EntryLink &Link, const StopJob &Message);
   void onMessage(EntryLink &Link, const StopRun &Message);
   void onMessage(EntryLink &Link, const EntryLease &Message);
+  void onMessage(EntryLink &Link, const ConfigTransfer &Message);
+  void onMessage(EntryLink &Link, const ConfigRequest &Message);
   void onMessage(EntryLink &Link, const Goodbye &Message);
   /// Any message that entries don't send to run agents.
   template <class T> void onMessage(EntryLink &Link, const T &) {
@@ -159,6 +161,10 @@
   /// Stable addresses: runs refer to their owner.
   std::map<std::string, EntryLink> m_Links;
 
+  /// Copy of the newest configuration that an entry has sent, for entries that
+  /// can't read the store; version 0 for none.
+  ConfigTransfer m_Config;
+
   EndpointState m_ToldState = EndpointState::Absent;
   bool m_ShuttingDown = false;
   bool m_Drained = false;
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -92,6 +92,27 @@
   extendLease(Link, Hello.m_SentAt);
   log("entry-link-open",
       {{"entry", Hello.m_EntryId}, {"address", Link.m_Address}});
+  if (m_Config.m_Version > Hello.m_ConfigVersion)
+    send(Link, ConfigHeld{m_Config.m_Version});
+}
+
+void RunnerCore::Impl::onMessage(EntryLink &Link,
+                                 const ConfigTransfer &Message) {
+  if (Message.m_Version <= m_Config.m_Version)
+    return send(Link, ConfigHeld{m_Config.m_Version});
+  log("config-copy-kept", {{"entry", Link.m_EntryId},
+                           {"version", std::to_string(Message.m_Version)},
+                           {"before", std::to_string(m_Config.m_Version)}});
+  m_Config = Message;
+  for (auto &[Address, Each] : m_Links)
+    if (Each.m_Greeted)
+      send(Each, ConfigHeld{m_Config.m_Version});
+}
+
+void RunnerCore::Impl::onMessage(EntryLink &Link, const ConfigRequest &) {
+  log("config-copy-given", {{"entry", Link.m_EntryId},
+                            {"version", std::to_string(m_Config.m_Version)}});
+  send(Link, m_Config);
 }
 
 void RunnerCore::Impl::onMessage(EntryLink &Link, const EntryLease &Message) {
--- a/tests/unit/JobHarness.cpp
+++ b/tests/unit/JobHarness.cpp
@@ -11,6 +11,7 @@
 JobCoreOptions makeOptions() {
   JobCoreOptions Options;
   Options.m_EntryId = "entry-1";
+  Options.m_FailureDomain = "quimper";
   Options.m_Incarnation = Incarnation{70};
   return Options;
 }
@@ -57,6 +58,7 @@
   Hello.m_Incarnation = Life;
   Hello.m_Endpoint.m_Id = "endpoint-" + std::to_string(Number);
   Hello.m_Endpoint.m_Service = "desk";
+  Hello.m_Endpoint.m_FailureDomain = m_FailureDomain;
   Hello.m_Endpoint.m_Room = {wholeCores(Cores), 100000, 0};
   Hello.m_Endpoint.m_State = EndpointState::Active;
   return Hello;
--- a/tests/unit/JobHarness.h
+++ b/tests/unit/JobHarness.h
@@ -63,6 +63,8 @@
 
   TimePoint now() const { return m_Now; }
   JobCore &core() { return m_Core; }
+  /// Failure domain of the agents that connect next.
+  std::string m_FailureDomain = "quimper";
   /// Policy of the jobs that are offered next.
   QueuePolicy m_Policy;
 
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -76,7 +76,9 @@
       Ended,
       StopJob{JobId{Large}},
       StopRun{Run},
-      EntryLease{TimePoint(Duration(9))}};
+      EntryLease{TimePoint(Duration(9))},
+      ConfigHeld{7},
+      ConfigRequest{}};
 }
 
 /// Text of the error, or empty when the frame is accepted.
@@ -145,7 +147,10 @@
              "decode frame: message 0 (Ping), type number: has 2 fields, "
              "expected 1");
   BOOST_TEST(faultOf(cborOf({{11}})).find("has 0 fields") != std::string::npos);
-  BOOST_TEST(faultOf(cborOf({{24, 1}})).find("value 24") != std::string::npos);
+  constexpr std::size_t FirstUnknown = std::variant_size_v<LinkMessage>;
+  BOOST_TEST(faultOf(cborOf({{FirstUnknown, 1}}))
+                 .find("value " + std::to_string(FirstUnknown)) !=
+             std::string::npos);
   BOOST_TEST(faultOf(cborOf(Json::array({Json::array()})))
                  .find("without a type number") != std::string::npos);
   BOOST_TEST(faultOf(cborOf({{5, {1, 2, 3}}})).find("request id: has 3") !=
