Let the priority of a queue put its jobs ahead in a burst

Cause: in bursts the most urgent queue was served worst: its jobs are short, so their latest start is near, and jobs of other queues that had waited longer came first. Change: the place of a job is its latest start and 100 ms for each step of priority; its refusal stays at the latest start. Ends of waits are looked at when the next one is due, since the order is no longer theirs. Tests: AMoreUrgentQueueGetsRoomFirst failed before.

--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -90,7 +90,7 @@
         break;
       return Refusal{"no endpoint of the service is known", SoonAgain};
     }
-  const JobPlace Place{false, Times.m_LatestStart, m_Arrivals};
+  const JobPlace Place = placeOf(Times, Policy, m_Arrivals);
   passLatestStarts();
   const Duration Wait =
       m_Forecast.waitFor(m_Now, workBefore(Place), m_MilliCoresInUse);
@@ -120,7 +120,7 @@
   Job.m_Queue = Event.m_Queue;
   Job.m_Callers.push_back(Event.m_Caller);
   Job.m_Times = Times;
-  Job.m_Place = JobPlace{false, Times.m_LatestStart, ++m_Arrivals};
+  Job.m_Place = placeOf(Times, Event.m_Queue->m_Policy, ++m_Arrivals);
   std::uint32_t LastRun = 0;
   const auto Finished = m_FinishedById.find(Key);
   if (Finished != m_FinishedById.end())
--- a/src/jobs/JobCore.cpp
+++ b/src/jobs/JobCore.cpp
@@ -91,7 +91,7 @@
   const TimePoint Check = m_Rows.empty() ? TimePoint::max() : m_NextCheck;
   const TimePoint Starts =
       m_Dirty ? std::max(m_StartsAgainAt, m_LastTurnAt) : TimePoint::max();
-  return std::min({m_Timers.nextDue(), Check, nextLatestStart(), Starts});
+  return std::min({m_Timers.nextDue(), Check, m_NextLatestStart, Starts});
 }
 
 JobCoreStatus JobCore::Impl::status() const {
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -62,7 +62,10 @@
   void dequeue(JobIndex Index);
   void dispatch();
   void passLatestStarts();
-  /// When passLatestStarts() has something to do; max() for never.
+  /// When a job that waits is given up, or comes after all others if it has
+  /// begun.
+  static TimePoint endOfWait(const JobRecord &Job);
+  /// Earliest end of a wait; max() for none.
   TimePoint nextLatestStart() const;
   /// False when a task of the job waits for room.
   bool placeTasks(JobIndex Index);
@@ -136,6 +139,8 @@
   /// Jobs with waiting tasks.
   std::set<std::pair<JobPlace, JobIndex>> m_Waiting;
   std::uint64_t m_Arrivals = 0;
+  /// No later than the earliest end of a wait.
+  TimePoint m_NextLatestStart = TimePoint::max();
   TimerQueue m_Timers;
 
   std::vector<RunnerRow> m_Rows;
--- a/src/jobs/JobDeclaration.h
+++ b/src/jobs/JobDeclaration.h
@@ -43,6 +43,8 @@
 struct QueuePolicy {
   std::string m_Name;
   std::string m_Service;
+  /// 0 is the most urgent.
+  std::uint32_t m_Priority = 0;
   /// Failed runs of one task after which its job has failed.
   std::uint32_t m_MaxAttempts = 1;
   /// A job is on time when it takes at most this multiple of its longest chain,
--- a/src/jobs/JobDispatch.cpp
+++ b/src/jobs/JobDispatch.cpp
@@ -25,6 +25,8 @@
   if (!Job.m_Queued)
     m_Waiting.emplace(Job.m_Place, Index);
   Job.m_Queued = true;
+  if (!Job.m_Place.m_Late)
+    m_NextLatestStart = std::min(m_NextLatestStart, endOfWait(Job));
   m_Dirty = true;
 }
 
@@ -53,12 +55,14 @@
 /// that has begun is lost unless all of it is done, so such a job keeps its
 /// place until its objective has passed, and then comes after all others.
 void JobCore::Impl::passLatestStarts() {
+  if (m_Now < m_NextLatestStart)
+    return;
   for (auto Next = m_Waiting.begin(); Next != m_Waiting.end();) {
     const auto [Place, Index] = *Next++;
     JobRecord &Job = m_Jobs[Index];
-    if (Place.m_Late || Place.m_LatestStart >= m_Now)
-      return;
-    if (Job.hasBegun() && m_Now < Job.m_Times.m_Objective)
+    if (Place.m_Late)
+      break;
+    if (m_Now < endOfWait(Job))
       continue;
     if (!Job.hasBegun()) {
       giveUp(Index, "it would start too late");
@@ -68,18 +72,23 @@
     Job.m_Place.m_Late = true;
     enqueue(Index);
   }
+  m_NextLatestStart = nextLatestStart();
+}
+
+TimePoint JobCore::Impl::endOfWait(const JobRecord &Job) {
+  return Job.hasBegun() ? std::max(Job.m_Times.m_LatestStart + Duration(1),
+                                   Job.m_Times.m_Objective)
+                        : Job.m_Times.m_LatestStart + Duration(1);
 }
 
 TimePoint JobCore::Impl::nextLatestStart() const {
+  TimePoint Next = TimePoint::max();
   for (const auto &[Place, Index] : m_Waiting) {
     if (Place.m_Late)
       break;
-    const JobRecord &Job = m_Jobs[Index];
-    // Jobs that have begun and keep their place come first and are few.
-    if (!Job.hasBegun() || Place.m_LatestStart >= m_Now)
-      return Place.m_LatestStart + Duration(1);
+    Next = std::min(Next, endOfWait(m_Jobs[Index]));
   }
-  return TimePoint::max();
+  return Next;
 }
 
 bool JobCore::Impl::placeTasks(JobIndex Index) {
--- a/src/jobs/JobOrder.h
+++ b/src/jobs/JobOrder.h
@@ -29,13 +29,18 @@
   /// Jobs that have missed their latest start come after all others: room
   /// spent on them would make jobs late that can still be on time.
   bool m_Late = false;
-  TimePoint m_LatestStart{};
+  /// Latest start, put off by the priority of the queue.
+  TimePoint m_Rank{};
   std::uint64_t m_Arrival = 0;
 
   friend bool operator<(const JobPlace &A, const JobPlace &B) {
-    return std::tie(A.m_Late, A.m_LatestStart, A.m_Arrival) <
-           std::tie(B.m_Late, B.m_LatestStart, B.m_Arrival);
+    return std::tie(A.m_Late, A.m_Rank, A.m_Arrival) <
+           std::tie(B.m_Late, B.m_Rank, B.m_Arrival);
   }
 };
 
+/// Place of the job that came as number \p Arrival and can still be on time.
+JobPlace placeOf(const JobTimes &Times, const QueuePolicy &Policy,
+                 std::uint64_t Arrival);
+
 } // namespace cyclamencroft
--- a/tests/unit/JobLoadTest.cpp
+++ b/tests/unit/JobLoadTest.cpp
@@ -40,6 +40,49 @@
   BOOST_TEST((runsAt(1)[0].m_Task.m_Job == JobId{3}));
 }
 
+// Guards against urgent callers that are refused in a burst while room goes to
+// the less urgent: hydrant checks beside permit closures.
+BOOST_AUTO_TEST_CASE(AMoreUrgentQueueGetsRoomFirst) {
+  connectAgent(1, 1);
+  feed(offer(1, 1, 100ms));
+  m_Policy.m_Priority = 1;
+  feed(offer(2, 1, 100ms));
+  m_Policy.m_Priority = 0;
+  feed(offer(3, 1, 200ms));
+  endAll();
+  BOOST_REQUIRE(runsAt(1).size() == 1);
+  BOOST_TEST((runsAt(1)[0].m_Task.m_Job == JobId{3}));
+}
+
+// Guards against a queue that is shut out as long as more urgent work comes: a
+// step of priority is worth a limited wait.
+BOOST_AUTO_TEST_CASE(ALessUrgentJobThatHasWaitedLongEnoughComesFirst) {
+  connectAgent(1, 1);
+  feed(offer(1, 1, 100ms));
+  m_Policy.m_Priority = 1;
+  feed(offer(2, 1, 900ms));
+  // It may wait 300 ms, and its priority puts it off by 100 ms.
+  advance(290ms);
+  m_Policy.m_Priority = 0;
+  feed(offer(3, 1, 900ms));
+  endAll();
+  BOOST_REQUIRE(runsAt(1).size() == 1);
+  BOOST_TEST((runsAt(1)[0].m_Task.m_Job == JobId{2}));
+}
+
+// Guards against a less urgent job that is kept beyond its latest start because
+// others come before it.
+BOOST_AUTO_TEST_CASE(ALessUrgentJobIsRefusedAtItsLatestStart) {
+  connectAgent(1, 1);
+  feed(offer(1, 1, 900ms));
+  m_Policy.m_Priority = 2;
+  feed(offer(2, 1, 100ms));
+  pass(62ms);
+  BOOST_REQUIRE(answers().size() == 1);
+  BOOST_TEST((answers()[0].m_Job == JobId{2}));
+  BOOST_TEST((answers()[0].m_Outcome == JobOutcome::NotRun));
+}
+
 // Guards against room spent on a job that is late anyway while another one can
 // still be on time.
 BOOST_AUTO_TEST_CASE(ALateJobComesAfterThoseThatCanBeOnTime) {
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -144,6 +144,7 @@
   BOOST_REQUIRE(Match.has_value());
   BOOST_TEST(Match->m_Rest == "abc");
   BOOST_TEST(Match->m_Queue->m_Policy.m_Stretch == 1.6);
+  BOOST_TEST(Match->m_Queue->m_Policy.m_Priority == 2U);
   BOOST_TEST(!Table->find("b.example", "/x/abc").has_value());
   BOOST_TEST(!Table->find("a.example", "/y/abc").has_value());
 }
