Count runs that are going on when an endpoint is measured

Change: runs that have taken longer than usual so far, and stopped ones that had, count as samples with the time that they have taken. Tests: RunsThatTakeTooLongCountBeforeTheyEnd and AStoppedRunCountsWhenItTookLongerThanUsual need the new calls; the harness measures as before.

--- a/src/runs/EndpointMeter.cpp
+++ b/src/runs/EndpointMeter.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 namespace cyclamencroft {
@@ -19,21 +20,27 @@
 
 constexpr double Percent = 100;
 
+/// Logarithm of run time over estimate; nothing when one of them is unknown.
+std::optional<double> logRatio(const RunProgress &Run) {
+  if (Run.m_Estimate <= Duration{} || Run.m_RunTime <= Duration{})
+    return std::nullopt;
+  return std::log(static_cast<double>(Run.m_RunTime.count()) /
+                  static_cast<double>(Run.m_Estimate.count()));
+}
+
 } // namespace
 
 bool EndpointMeter::startsAnew(TimePoint Now) {
   return Now - std::exchange(m_LastSample, Now) > OldSample;
 }
 
-void EndpointMeter::runDone(TimePoint Now, Duration RunTime,
-                            Duration Estimate) {
-  if (Estimate <= Duration{} || RunTime <= Duration{})
+void EndpointMeter::runDone(TimePoint Now, const RunProgress &Run) {
+  const std::optional<double> Ratio = logRatio(Run);
+  if (!Ratio)
     return;
-  const double Ratio = static_cast<double>(RunTime.count()) /
-                       static_cast<double>(Estimate.count());
   if (startsAnew(Now)) {
     // One run tells whether an endpoint has recovered.
-    m_MeanLogRatio = std::log(Ratio);
+    m_MeanLogRatio = *Ratio;
     m_DoneSamples = std::min(m_DoneSamples, SamplesToJudge);
     m_FailedShare = 0;
     m_Samples = std::min(m_Samples, SamplesToJudge);
@@ -41,7 +48,13 @@
   m_Samples = std::min(m_Samples + 1, Weight);
   m_FailedShare -= m_FailedShare / m_Samples;
   m_DoneSamples = std::min(m_DoneSamples + 1, Weight);
-  m_MeanLogRatio += (std::log(Ratio) - m_MeanLogRatio) / m_DoneSamples;
+  m_MeanLogRatio += (*Ratio - m_MeanLogRatio) / m_DoneSamples;
+}
+
+void EndpointMeter::runStopped(TimePoint Now, const RunProgress &Run) {
+  const std::optional<double> Ratio = logRatio(Run);
+  if (Ratio && *Ratio > m_MeanLogRatio)
+    runDone(Now, Run);
 }
 
 void EndpointMeter::runFailed(TimePoint Now) {
@@ -56,12 +69,33 @@
   m_FailedShare += (1 - m_FailedShare) / m_Samples;
 }
 
-EndpointQuality EndpointMeter::quality(TimePoint Now) const {
+std::uint32_t
+EndpointMeter::runTimePercent(boost::span<const RunProgress> Running) const {
+  std::uint32_t Overdue = 0;
+  double Sum = 0;
+  for (const RunProgress &Run : Running) {
+    const std::optional<double> Ratio = logRatio(Run);
+    if (!Ratio || *Ratio <= m_MeanLogRatio || Overdue == Weight)
+      continue;
+    Sum += *Ratio;
+    ++Overdue;
+  }
+  // They take the place of the oldest samples.
+  const std::uint32_t Kept = std::min(m_DoneSamples, Weight - Overdue);
+  const std::uint32_t Samples = Kept + Overdue;
+  if (Samples < SamplesToJudge)
+    return 0;
+  Sum += Kept * m_MeanLogRatio;
+  return static_cast<std::uint32_t>(
+      std::lround(Percent * std::exp(Sum / Samples)));
+}
+
+EndpointQuality
+EndpointMeter::quality(TimePoint Now,
+                       boost::span<const RunProgress> Running) const {
   EndpointQuality Quality;
   Quality.m_SampleAge = Now - std::min(Now, m_LastSample);
-  if (m_DoneSamples >= SamplesToJudge)
-    Quality.m_RunTimePercent = static_cast<std::uint32_t>(
-        std::lround(Percent * std::exp(m_MeanLogRatio)));
+  Quality.m_RunTimePercent = runTimePercent(Running);
   if (m_Samples >= SamplesToJudge)
     Quality.m_FailedPercent =
         static_cast<std::uint32_t>(std::lround(Percent * m_FailedShare));
--- a/src/runs/EndpointMeter.h
+++ b/src/runs/EndpointMeter.h
@@ -6,18 +6,34 @@
 #include "core/Runs.h"
 #include "core/RuntimeClock.h"
 
+#include <boost/core/span.hpp>
+
 #include <cstdint>
 
 namespace cyclamencroft {
 
+/// How long a run has taken so far.
+struct RunProgress {
+  Duration m_RunTime{};
+  Duration m_Estimate{};
+};
+
 class EndpointMeter {
 public:
-  void runDone(TimePoint Now, Duration RunTime, Duration Estimate);
+  void runDone(TimePoint Now, const RunProgress &Run);
+  /// Its run time would have been longer than what it has taken.
+  void runStopped(TimePoint Now, const RunProgress &Run);
   void runFailed(TimePoint Now);
 
-  EndpointQuality quality(TimePoint Now) const;
+  /// \p Running are the runs that are going on: those that have taken longer
+  /// than usual for their estimate count as well, so that slowness shows before
+  /// slow runs end.
+  EndpointQuality quality(TimePoint Now,
+                          boost::span<const RunProgress> Running) const;
 
 private:
+  std::uint32_t runTimePercent(boost::span<const RunProgress> Running) const;
+
   /// Notes a sample; true when the ones before are too old to tell anything.
   bool startsAnew(TimePoint Now);
 
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -123,6 +123,7 @@
   void takeRunning(const RunName &Name);
   EndpointState offeredState() const;
   EndpointCall callTarget() const;
+  RunProgress progressOf(const Run &Going) const;
   EndpointLoad load(const EntryLink &Receiver) const;
 
   RunnerOptions m_Options;
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace cyclamencroft {
 namespace {
@@ -221,10 +222,19 @@
   return {m_Address, m_Life.m_Id, m_Options.m_FencingToken};
 }
 
+RunProgress RunnerCore::Impl::progressOf(const Run &Going) const {
+  return {m_Now - Going.m_StartedAt, Going.m_Estimate};
+}
+
 EndpointLoad RunnerCore::Impl::load(const EntryLink &Receiver) const {
+  std::vector<RunProgress> Running;
+  Running.reserve(m_Runs.size());
+  for (const auto &[Name, Each] : m_Runs)
+    if (Each.m_Phase == Phase::Running)
+      Running.push_back(progressOf(Each));
   return {m_Reserved, m_Waiting.size(),
           static_cast<std::uint32_t>(m_Runs.size()), Receiver.m_StartsTaken,
-          m_Meter.quality(m_Now)};
+          m_Meter.quality(m_Now, Running)};
 }
 
 } // namespace cyclamencroft
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -268,7 +268,9 @@
   m_Counters.m_Failed += How == RunEnd::Failed ? 1 : 0;
   m_Counters.m_Lost += How == RunEnd::Lost ? 1 : 0;
   if (How == RunEnd::Done)
-    m_Meter.runDone(m_Now, m_Now - Ended.m_StartedAt, Ended.m_Estimate);
+    m_Meter.runDone(m_Now, progressOf(Ended));
+  if (How == RunEnd::Stopped)
+    m_Meter.runStopped(m_Now, progressOf(Ended));
   if (How == RunEnd::Failed)
     m_Meter.runFailed(m_Now);
   const bool Usual = How == RunEnd::Done || How == RunEnd::NotStarted;
--- a/tests/unit/EndpointMeterTest.cpp
+++ b/tests/unit/EndpointMeterTest.cpp
@@ -13,13 +13,15 @@
 
   void done(int Runs, Duration RunTime) {
     for (int Run = 0; Run < Runs; ++Run)
-      runDone(m_Now += 10ms, RunTime, 100ms);
+      runDone(m_Now += 10ms, {RunTime, 100ms});
   }
   void failed(int Runs) {
     for (int Run = 0; Run < Runs; ++Run)
       runFailed(m_Now += 10ms);
   }
-  EndpointQuality quality() const { return EndpointMeter::quality(m_Now); }
+  EndpointQuality quality(const std::vector<RunProgress> &Running = {}) const {
+    return EndpointMeter::quality(m_Now, Running);
+  }
 };
 
 } // namespace
@@ -41,6 +43,34 @@
   BOOST_TEST(quality().m_RunTimePercent > 200U);
 }
 
+// Guards against an endpoint that has turned slow and gets work until the first
+// slow runs end.
+BOOST_AUTO_TEST_CASE(RunsThatTakeTooLongCountBeforeTheyEnd) {
+  done(12, 100ms);
+  const std::vector<RunProgress> Running(6, RunProgress{500ms, 100ms});
+  BOOST_TEST(quality(Running).m_RunTimePercent > 200U);
+  BOOST_TEST(quality().m_RunTimePercent == 100U);
+}
+
+// Guards against runs that have just begun and would hide slowness.
+BOOST_AUTO_TEST_CASE(RunsWithinTheirUsualTimeDoNotCount) {
+  done(12, 300ms);
+  const std::vector<RunProgress> Running(10, RunProgress{20ms, 100ms});
+  BOOST_TEST(quality(Running).m_RunTimePercent == 300U);
+}
+
+// Guards against slowness that is forgotten because slow runs are stopped
+// before they end, and against stops by callers that leave early.
+BOOST_AUTO_TEST_CASE(AStoppedRunCountsWhenItTookLongerThanUsual) {
+  done(12, 100ms);
+  for (int Run = 0; Run < 6; ++Run)
+    runStopped(m_Now += 10ms, {20ms, 100ms});
+  BOOST_TEST(quality().m_RunTimePercent == 100U);
+  for (int Run = 0; Run < 6; ++Run)
+    runStopped(m_Now += 10ms, {500ms, 100ms});
+  BOOST_TEST(quality().m_RunTimePercent > 180U);
+}
+
 // Guards against a recovered endpoint that stays out until a dozen trial runs
 // have ended.
 BOOST_AUTO_TEST_CASE(OneRunAfterAPauseTellsThatItHasRecovered) {
--- a/tests/unit/JobHarness.cpp
+++ b/tests/unit/JobHarness.cpp
@@ -113,7 +113,7 @@
   Load.m_StartsTaken = Taken == m_StartsTaken.end() ? 0 : Taken->second;
   const auto Meter = m_Meters.find(Agent);
   if (Meter != m_Meters.end())
-    Load.m_Quality = Meter->second.quality(m_Now);
+    Load.m_Quality = Meter->second.quality(m_Now, {});
   return Load;
 }
 
@@ -127,7 +127,7 @@
   if (Found != m_Open.end()) {
     RunTime = m_Now - Found->m_Start.m_SentAt;
     if (End == RunEnd::Done)
-      m_Meters[Agent].runDone(m_Now, RunTime, Found->m_Start.m_Estimate);
+      m_Meters[Agent].runDone(m_Now, {RunTime, Found->m_Start.m_Estimate});
     if (End == RunEnd::Failed)
       m_Meters[Agent].runFailed(m_Now);
     m_Open.erase(Found);
