Let all jobs wait for the first endpoint of a fresh entry

Change: in the first second, without endpoints, jobs are taken and wait until their latest start; a Retry-After in that second is the shortest one. Test: AllJobsWaitForTheFirstEndpointOfAnEntryThatHasJustStarted failed before.

--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -79,6 +79,7 @@
     return Refusal{"the entry shuts down", SoonAgain};
   if (m_Jobs.size() >= MostJobs)
     return Refusal{"the entry holds as many jobs as it can", retryAfter()};
+  bool AwaitsEndpoint = false;
   for (const StepDeclaration &Step : Event.m_Job.m_Steps)
     switch (Placement::fit(m_Rows, Policy.m_Service, Step)) {
     case Fit::Fits:
@@ -86,10 +87,13 @@
     case Fit::TooLarge:
       return Refusal{"no endpoint can hold a task", {}};
     case Fit::NoEndpoint:
-      if (m_Now < m_EndpointsKnownBy)
-        break;
-      return Refusal{"no endpoint of the service is known", SoonAgain};
+      if (m_Now >= m_EndpointsKnownBy)
+        return Refusal{"no endpoint of the service is known", SoonAgain};
+      AwaitsEndpoint = true;
     }
+  // The first endpoints are on their way, so nothing tells how long work takes.
+  if (AwaitsEndpoint)
+    return std::nullopt;
   const JobPlace Place = placeOf(Times, Policy, m_Arrivals);
   passLatestStarts();
   const Duration Wait =
@@ -153,6 +157,8 @@
 }
 
 Duration JobCore::Impl::retryAfter() {
+  if (m_Now < m_EndpointsKnownBy)
+    return SoonAgain;
   WorkAmount All = 0;
   for (const auto &[Place, Index] : m_Waiting)
     All += waitingWork(m_Jobs[Index]);
--- a/tests/unit/JobLoadTest.cpp
+++ b/tests/unit/JobLoadTest.cpp
@@ -169,6 +169,22 @@
   BOOST_TEST(runsAt(1).size() == 1U);
 }
 
+// Guards against an entry that takes one job while its agents are on their way
+// and refuses all others, with a time to come back that nothing speaks for.
+BOOST_AUTO_TEST_CASE(
+    AllJobsWaitForTheFirstEndpointOfAnEntryThatHasJustStarted) {
+  feed(offer(1, 1, 100ms));
+  feed(offer(2, 1, 100ms));
+  feed(offer(3, 1, 100ms));
+  BOOST_TEST(answers().empty());
+  advance(20ms);
+  connectAgent(1, 2);
+  BOOST_TEST(runsAt(1).size() == 2U);
+  pass(61ms);
+  BOOST_REQUIRE(answers().size() == 1);
+  BOOST_TEST((answers()[0].m_RetryAfter == 1s));
+}
+
 // Guards against a caller that hears nothing because nothing else happens at
 // the entry.
 BOOST_AUTO_TEST_CASE(AJobThatFindsNoEndpointIsRefusedAtItsLatestStart) {
