Share the loop that drives a decision core; export latency histograms

Cause: the two daemons of the platform each had a copy of the loop that feeds the core, carries commands out, batches frames and arms the timer; only the agent's was safe against a link that closes while commands are carried out. Latencies were exported as quantiles, which can't be added up over processes. Change: apps/CoreLoop.h, with the agent's behaviour for both; Boost.Histogram buckets from 1 ms to 10 s beside the quantiles, which move to a gauge of their own. Test: DistributionsExportCumulativeBuckets failed before (no buckets).

--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -2,6 +2,7 @@
 // through read-copy-update; the other one owns the scheduler and the links.
 #include "JobEntryDaemon.h"
 
+#include "CoreLoop.h"
 #include "JobCallers.h"
 #include "ReloadSignal.h"
 
@@ -76,9 +77,9 @@
 class JobEntryDaemon::Impl {
 public:
   explicit Impl(const JobEntrySettings &Settings)
-      : m_Settings(Settings), m_Core(makeOptions(Settings)), m_Timer(m_CoreIo),
-        m_ShutdownTimer(m_CoreIo), m_Signals(m_CoreIo, SIGTERM, SIGINT),
-        m_Reload(m_CoreIo, Settings.m_Id),
+      : m_Settings(Settings), m_Core(makeOptions(Settings)),
+        m_Loop(m_CoreIo, m_Core, loopHandlers()), m_ShutdownTimer(m_CoreIo),
+        m_Signals(m_CoreIo, SIGTERM, SIGINT), m_Reload(m_CoreIo, Settings.m_Id),
         m_Links(m_CoreIo, Settings.m_LinkListen, linkHandlers()),
         m_Follower(
             m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
@@ -175,7 +176,8 @@
   }
 
   void post(JobEvent Event) {
-    asio::post(m_CoreIo, [this, Event = std::move(Event)] { feed(Event); });
+    asio::post(m_CoreIo,
+               [this, Event = std::move(Event)] { m_Loop.feed(Event); });
   }
 
   // Core's thread.
@@ -187,34 +189,30 @@
                                    std::vector<LinkMessage> Messages) {
       for (LinkMessage &Each : Messages)
         if (auto *Hello = std::get_if<RunnerHello>(&Each))
-          handle(RunnerConnected{Link, std::move(*Hello)});
+          m_Loop.handle(RunnerConnected{Link, std::move(*Hello)});
         else
-          handle(MessageReceived{Link, std::move(Each)});
-      execute();
+          m_Loop.handle(MessageReceived{Link, std::move(Each)});
+      m_Loop.execute();
     };
     Handlers.m_OnClose = [this](LinkId Link, const std::string &) {
-      feed(LinkClosed{Link});
+      m_Loop.feed(LinkClosed{Link});
     };
     return Handlers;
   }
 
-  void feed(const JobEvent &Event) {
-    handle(Event);
-    execute();
-  }
+  using Loop = CoreLoop<JobCore, JobEvent, JobCommand>;
 
-  void handle(const JobEvent &Event) {
-    m_Core.handle(RuntimeClock::now(), Event, m_Commands);
-  }
-
-  /// Messages of one turn leave in one frame for each link.
-  void execute() {
-    std::vector<JobCommand> Commands = std::exchange(m_Commands, {});
-    for (JobCommand &Each : Commands)
-      std::visit([this](auto &Command) { carryOut(Command); }, Each);
-    flushLinks();
-    checkReadiness();
-    armTimer();
+  Loop::Handlers loopHandlers() {
+    Loop::Handlers Handlers;
+    Handlers.m_CarryOut = [this](JobCommand &Command) {
+      std::visit([this](auto &Typed) { carryOut(Typed); }, Command);
+    };
+    Handlers.m_SendFrame = [this](LinkId Link,
+                                  const std::vector<LinkMessage> &Messages) {
+      m_Links.send(Link, Messages);
+    };
+    Handlers.m_AfterTurn = [this] { checkReadiness(); };
+    return Handlers;
   }
 
   void carryOut(JobAnswer &Answer) {
@@ -222,11 +220,9 @@
     if (Took)
       m_Metrics.observe("job_answer", *Took);
   }
-  void carryOut(SendMessage &Command) {
-    m_Outgoing[Command.m_Link].push_back(std::move(Command.m_Message));
-  }
+  void carryOut(SendMessage &Command) { m_Loop.enqueue(Command); }
   void carryOut(const CloseLink &Command) {
-    flushLinks();
+    m_Loop.flush();
     m_Links.close(Command.m_Link, Command.m_Reason);
   }
   void carryOut(ConfigReceived &Command) {
@@ -247,27 +243,6 @@
     });
   }
 
-  void flushLinks() {
-    for (const auto &[Link, Messages] : std::exchange(m_Outgoing, {}))
-      m_Links.send(Link, Messages);
-  }
-
-  void armTimer() {
-    const TimePoint Next = m_Core.nextWakeup();
-    if (Next == m_TimerAt)
-      return;
-    m_TimerAt = Next;
-    m_Timer.expires_at(Next);
-    if (Next == TimePoint::max())
-      return;
-    m_Timer.async_wait([this](const boost::system::error_code &Fault) {
-      if (Fault)
-        return;
-      m_TimerAt = TimePoint::min();
-      feed(Tick{});
-    });
-  }
-
   /// Looks at the core's status, which visits every agent, from time to time.
   void checkReadiness() {
     const TimePoint Now = RuntimeClock::now();
@@ -331,7 +306,7 @@
               {"source", Source},
               {"queues", std::to_string(New->size())},
               {"offset", std::to_string(Record.m_Offset)}});
-    feed(ConfigInForce{New->version(), Record.m_Offset, Record.m_Value});
+    m_Loop.feed(ConfigInForce{New->version(), Record.m_Offset, Record.m_Value});
     updateReadiness();
   }
 
@@ -354,7 +329,7 @@
             if (Cancelled)
               return;
             m_JobServer.stopAccepting();
-            feed(ShutdownRequested{});
+            m_Loop.feed(ShutdownRequested{});
           });
     });
   }
@@ -375,11 +350,7 @@
       m_HttpIo.get_executor()};
 
   JobCore m_Core;
-  std::vector<JobCommand> m_Commands;
-  std::map<LinkId, std::vector<LinkMessage>> m_Outgoing;
-  RuntimeTimer m_Timer;
-  /// Time that m_Timer waits for.
-  TimePoint m_TimerAt = TimePoint::max();
+  Loop m_Loop;
   TimePoint m_ShowAgainAt{};
   TimePoint m_CheckReadinessAt{};
   RuntimeTimer m_ShutdownTimer;
--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -1,6 +1,7 @@
 // One thread runs the core, the links to entries and the calls to the endpoint.
 #include "RunAgentDaemon.h"
 
+#include "CoreLoop.h"
 #include "EntryDirectory.h"
 #include "ReloadSignal.h"
 
@@ -20,7 +21,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <map>
 #include <random>
 #include <utility>
 #include <vector>
@@ -83,10 +83,11 @@
 class RunAgentDaemon::Impl {
 public:
   explicit Impl(const RunAgentSettings &Settings)
-      : m_Settings(Settings), m_Core(makeOptions(Settings)), m_Timer(m_Io),
-        m_ShutdownTimer(m_Io), m_Signals(m_Io, SIGTERM, SIGINT),
-        m_Reload(m_Io, Settings.m_Id), m_Orders(m_Io, OrderConnections),
-        m_Holds(m_Io, 1), m_Entries(m_Io, entryHandlers()),
+      : m_Settings(Settings), m_Core(makeOptions(Settings)),
+        m_Loop(m_Io, m_Core, loopHandlers()), m_ShutdownTimer(m_Io),
+        m_Signals(m_Io, SIGTERM, SIGINT), m_Reload(m_Io, Settings.m_Id),
+        m_Orders(m_Io, OrderConnections), m_Holds(m_Io, 1),
+        m_Entries(m_Io, entryHandlers()),
         m_Follower(m_Io, platform::makeTopicStore(Settings.m_StoreAddress),
                    {platform::EntriesTopic, "", AnnouncementWait},
                    [this](const KeyedRecord &Record) {
@@ -124,15 +125,30 @@
   EntryDirectory::Handlers entryHandlers() {
     EntryDirectory::Handlers Handlers;
     Handlers.m_OnOpen = [this](LinkId Link, const std::string &Address) {
-      feed(RunnerLinkOpened{Link, Address});
+      m_Loop.feed(RunnerLinkOpened{Link, Address});
     };
     Handlers.m_OnMessages = [this](LinkId Link,
                                    std::vector<LinkMessage> Messages) {
       for (LinkMessage &Each : Messages)
-        handle(MessageReceived{Link, std::move(Each)});
-      execute();
+        m_Loop.handle(MessageReceived{Link, std::move(Each)});
+      m_Loop.execute();
     };
-    Handlers.m_OnClose = [this](LinkId Link) { feed(LinkClosed{Link}); };
+    Handlers.m_OnClose = [this](LinkId Link) { m_Loop.feed(LinkClosed{Link}); };
+    return Handlers;
+  }
+
+  using Loop = CoreLoop<RunnerCore, RunnerEvent, RunnerCommand>;
+
+  Loop::Handlers loopHandlers() {
+    Loop::Handlers Handlers;
+    Handlers.m_CarryOut = [this](RunnerCommand &Command) {
+      std::visit([this](auto &Typed) { carryOut(Typed); }, Command);
+    };
+    Handlers.m_SendFrame = [this](LinkId Link,
+                                  const std::vector<LinkMessage> &Messages) {
+      m_Entries.send(Link, Messages);
+    };
+    Handlers.m_AfterTurn = [] {};
     return Handlers;
   }
 
@@ -144,41 +160,15 @@
       return Exchange.respond({BadRequest, {}, ""});
     }
     if (const auto *Beat = std::get_if<EndpointHeartbeat>(&Read))
-      feed(*Beat);
+      m_Loop.feed(*Beat);
     else
-      feed(std::get<EndpointGone>(Read));
+      m_Loop.feed(std::get<EndpointGone>(Read));
     Exchange.respond({Ok, {{"Content-Type", "application/json"}}, "{}"});
   }
 
-  void feed(const RunnerEvent &Event) {
-    handle(Event);
-    execute();
-  }
-
-  void handle(const RunnerEvent &Event) {
-    m_Core.handle(RuntimeClock::now(), Event, m_Commands);
-  }
-
-  /// Messages of one turn leave in one frame for each link. Sending may close
-  /// a link, which is handled after the present turn.
-  void execute() {
-    if (std::exchange(m_Executing, true))
-      return;
-    while (!m_Commands.empty() || !m_Outgoing.empty()) {
-      std::vector<RunnerCommand> Commands = std::exchange(m_Commands, {});
-      for (RunnerCommand &Each : Commands)
-        std::visit([this](auto &Command) { carryOut(Command); }, Each);
-      flushLinks();
-    }
-    m_Executing = false;
-    armTimer();
-  }
-
-  void carryOut(SendMessage &Command) {
-    m_Outgoing[Command.m_Link].push_back(std::move(Command.m_Message));
-  }
+  void carryOut(SendMessage &Command) { m_Loop.enqueue(Command); }
   void carryOut(const CloseLink &Command) {
-    flushLinks();
+    m_Loop.flush();
     m_Entries.close(Command.m_Link, Command.m_Reason);
   }
   void carryOut(const CallStart &Command) {
@@ -188,7 +178,7 @@
     m_Orders.call(std::move(Call), [this, Sent, Run = Command.m_Run](
                                        const HttpOutcome &Outcome) {
       m_Metrics.observe("run_start", RuntimeClock::now() - Sent);
-      feed(platform::readStart(Run, Outcome));
+      m_Loop.feed(platform::readStart(Run, Outcome));
     });
   }
   void carryOut(const CallStop &Command) {
@@ -196,7 +186,7 @@
     Call.m_Timeout = OrderTimeout;
     m_Orders.call(std::move(Call),
                   [this, Run = Command.m_Run](const HttpOutcome &Outcome) {
-                    feed(platform::readStop(Run, Outcome));
+                    m_Loop.feed(platform::readStop(Run, Outcome));
                   });
   }
   void carryOut(const CallHold &Command) {
@@ -204,7 +194,7 @@
     Call.m_Timeout = Command.m_Wait + HoldTimeout;
     m_Holds.call(std::move(Call),
                  [this, Number = Command.m_Number](const HttpOutcome &Outcome) {
-                   feed(platform::readHold(Number, Outcome));
+                   m_Loop.feed(platform::readHold(Number, Outcome));
                  });
   }
   void carryOut(const LogDecision &Command) {
@@ -219,27 +209,6 @@
     });
   }
 
-  void flushLinks() {
-    for (const auto &[Link, Messages] : std::exchange(m_Outgoing, {}))
-      m_Entries.send(Link, Messages);
-  }
-
-  void armTimer() {
-    const TimePoint Next = m_Core.nextWakeup();
-    if (Next == m_TimerAt)
-      return;
-    m_TimerAt = Next;
-    m_Timer.expires_at(Next);
-    if (Next == TimePoint::max())
-      return;
-    m_Timer.async_wait([this](const boost::system::error_code &Fault) {
-      if (Fault)
-        return;
-      m_TimerAt = TimePoint::min();
-      feed(Tick{});
-    });
-  }
-
   std::string metricsPage() {
     const RunnerStatus Status = m_Core.status();
     m_Metrics.set("endpoint_active",
@@ -262,7 +231,7 @@
             return;
           logEvent(LogLevel::Info, "signal",
                    {{"number", std::to_string(Number)}, {"effect", "drain"}});
-          feed(ShutdownRequested{});
+          m_Loop.feed(ShutdownRequested{});
         });
   }
 
@@ -272,12 +241,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> m_Work{
       m_Io.get_executor()};
   RunnerCore m_Core;
-  std::vector<RunnerCommand> m_Commands;
-  bool m_Executing = false;
-  std::map<LinkId, std::vector<LinkMessage>> m_Outgoing;
-  RuntimeTimer m_Timer;
-  /// Time that m_Timer waits for.
-  TimePoint m_TimerAt = TimePoint::max();
+  Loop m_Loop;
   RuntimeTimer m_ShutdownTimer;
   asio::signal_set m_Signals;
   ReloadSignal m_Reload;
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -1,5 +1,6 @@
-// Distributions keep a count, a sum and three running quantiles (P-square), so
-// that their size does not depend on the number of samples.
+// Distributions keep a count, a sum, buckets and three running quantiles
+// (P-square), so that their size does not depend on the number of samples.
+// Quantiles are exact enough for one process; buckets can be added up over all.
 #include "telemetry/Metrics.h"
 
 #include <boost/accumulators/accumulators.hpp>
@@ -7,6 +8,7 @@
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 #include <array>
 #include <map>
@@ -17,12 +19,25 @@
 namespace {
 
 namespace acc = boost::accumulators;
+namespace hist = boost::histogram;
 
 constexpr double MicrosecondsPerSecond = 1e6;
 // P-square starts from five samples; before that it reports an arbitrary one.
 constexpr std::size_t SamplesForQuantiles = 5;
 constexpr std::array<double, 3> Quantiles = {0.5, 0.9, 0.99};
 
+/// Upper bounds of the buckets in seconds: from a start of a run to the longest
+/// wait of a caller.
+constexpr std::array<double, 13> BucketBounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+
+using Buckets = decltype(hist::make_histogram(hist::axis::variable<>{0, 1}));
+
+Buckets makeBuckets() {
+  return hist::make_histogram(
+      hist::axis::variable<>(BucketBounds.begin(), BucketBounds.end()));
+}
+
 using Totals =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
 using Quantile =
@@ -35,23 +50,41 @@
       Quantile(acc::quantile_probability = Quantiles[1]),
       Quantile(acc::quantile_probability = Quantiles[2])};
 
+  /// Its underflow is what is below the first bound.
+  Buckets m_Buckets = makeBuckets();
+
   void add(double Seconds) {
     m_Totals(Seconds);
+    m_Buckets(Seconds);
     for (Quantile &Q : m_Quantiles)
       Q(Seconds);
   }
 };
 
+void printBuckets(std::ostream &Out, const std::string &Metric,
+                  const Distribution &D) {
+  double Below = 0;
+  for (std::size_t I = 0; I < BucketBounds.size(); ++I) {
+    // The bin before the first one is the underflow.
+    Below += D.m_Buckets.at(static_cast<int>(I) - 1);
+    Out << Metric << "_bucket{le=\"" << BucketBounds[I] << "\"} " << Below
+        << '\n';
+  }
+  Out << Metric << "_bucket{le=\"+Inf\"} " << acc::count(D.m_Totals) << '\n';
+}
+
 void print(std::ostream &Out, const std::string &Name, const Distribution &D) {
-  Out << "# TYPE cyclamencroft_" << Name << "_seconds summary\n";
-  const bool HasQuantiles = acc::count(D.m_Totals) >= SamplesForQuantiles;
-  for (std::size_t I = 0; HasQuantiles && I < Quantiles.size(); ++I)
-    Out << "cyclamencroft_" << Name << "_seconds{quantile=\"" << Quantiles[I]
-        << "\"} " << acc::p_square_quantile(D.m_Quantiles[I]) << '\n';
-  Out << "cyclamencroft_" << Name << "_seconds_sum " << acc::sum(D.m_Totals)
-      << '\n';
-  Out << "cyclamencroft_" << Name << "_seconds_count " << acc::count(D.m_Totals)
-      << '\n';
+  const std::string Metric = "cyclamencroft_" + Name + "_seconds";
+  Out << "# TYPE " << Metric << " histogram\n";
+  printBuckets(Out, Metric, D);
+  Out << Metric << "_sum " << acc::sum(D.m_Totals) << '\n';
+  Out << Metric << "_count " << acc::count(D.m_Totals) << '\n';
+  if (acc::count(D.m_Totals) < SamplesForQuantiles)
+    return;
+  Out << "# TYPE " << Metric << "_quantile gauge\n";
+  for (std::size_t I = 0; I < Quantiles.size(); ++I)
+    Out << Metric << "_quantile{quantile=\"" << Quantiles[I] << "\"} "
+        << acc::p_square_quantile(D.m_Quantiles[I]) << '\n';
 }
 
 } // namespace
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -1,5 +1,5 @@
-// Response-time and run-time statistics of a process, by Boost.Accumulators,
-// and the Prometheus text format.
+// Response-time and run-time statistics of a process, by Boost.Accumulators and
+// Boost.Histogram, and the Prometheus text format.
 #pragma once
 
 #include "core/RuntimeClock.h"
@@ -25,8 +25,8 @@
   /// Sets a counter or gauge to its present value.
   void set(std::string_view Name, std::uint64_t Value);
 
-  /// Prometheus text format: quantiles 0.5, 0.9, 0.99, sum and count of each
-  /// distribution, then counters and gauges.
+  /// Prometheus text format: a histogram and the quantiles 0.5, 0.9, 0.99 of
+  /// each distribution, then counters and gauges.
   std::string toPrometheus() const;
 
 private:
--- a/tests/unit/TelemetryTest.cpp
+++ b/tests/unit/TelemetryTest.cpp
@@ -78,6 +78,23 @@
   BOOST_TEST(Text.find("cyclamencroft_retries_total 7") != std::string::npos);
 }
 
+// Guards against latencies of several processes that can't be added up, and
+// against samples that fall out of all buckets.
+BOOST_AUTO_TEST_CASE(DistributionsExportCumulativeBuckets) {
+  Metrics Numbers;
+  Numbers.observe("response_time", Duration(500));
+  Numbers.observe("response_time", Duration(150 * 1000));
+  Numbers.observe("response_time", Duration(60 * 1000 * 1000));
+  const std::string Text = Numbers.toPrometheus();
+  const std::string Bucket = "cyclamencroft_response_time_seconds_bucket";
+  BOOST_TEST(Text.find("seconds histogram") != std::string::npos);
+  BOOST_TEST(Text.find(Bucket + "{le=\"0.001\"} 1\n") != std::string::npos);
+  BOOST_TEST(Text.find(Bucket + "{le=\"0.1\"} 1\n") != std::string::npos);
+  BOOST_TEST(Text.find(Bucket + "{le=\"0.2\"} 2\n") != std::string::npos);
+  BOOST_TEST(Text.find(Bucket + "{le=\"10\"} 2\n") != std::string::npos);
+  BOOST_TEST(Text.find(Bucket + "{le=\"+Inf\"} 3\n") != std::string::npos);
+}
+
 // Guards against quantiles that are made up from too few samples: four samples
 // of 35 us to 100 ms read as 35 us at every quantile.
 BOOST_AUTO_TEST_CASE(QuantilesAreLeftOutBelowFiveSamples) {
