Forecast the wait of a new job from free room, too

Change: work that fits into the free room does not delay a job; the pause itself does, so a job that can't wait for its end is refused at once. Ruled out: a shorter pause, which guards against two runs of a task (findings). Tests: AnEntryThatStoodStillTakesWhatItsFreeRoomHolds and AJobThatCantWaitForStartsToGoOnIsRefusedAtOnce failed before.

--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -33,6 +33,14 @@
   return Work;
 }
 
+std::uint64_t waitingCores(const JobRecord &Job) {
+  std::uint64_t MilliCores = 0;
+  for (std::size_t Number = 0; Number < Job.m_Steps.size(); ++Number)
+    MilliCores += std::uint64_t{Job.m_Steps[Number].m_Waiting} *
+                  Job.m_Declaration.m_Steps[Number].m_Need.m_MilliCores;
+  return MilliCores;
+}
+
 } // namespace
 
 void JobCore::Impl::onEvent(const JobOffered &Event) {
@@ -96,8 +104,7 @@
     return std::nullopt;
   const JobPlace Place = placeOf(Times, Policy, m_Arrivals);
   passLatestStarts();
-  const Duration Wait =
-      m_Forecast.waitFor(m_Now, workBefore(Place), m_MilliCoresInUse);
+  const Duration Wait = expectedWait(Place, Policy.m_Service);
   if (m_Now + Wait > Times.m_LatestStart)
     return Refusal{"it would wait " + milliseconds(Wait) + " ms and may wait " +
                        milliseconds(Times.m_LatestStart - m_Now) + " ms",
@@ -105,12 +112,28 @@
   return std::nullopt;
 }
 
-WorkAmount JobCore::Impl::workBefore(const JobPlace &Place) const {
-  WorkAmount Work = 0;
+/// Free room starts what waits as soon as tasks are started; work beyond it has
+/// to wait for the ends of other runs.
+Duration JobCore::Impl::expectedWait(const JobPlace &Place,
+                                     std::string_view Service) {
+  const Duration Pause = std::max(Duration{}, m_StartsAgainAt - m_Now);
+  const QueuedWork Ahead = workBefore(Place);
+  if (Ahead.m_MilliCores == 0)
+    return Pause;
+  const RoomSummary Room = Placement::summarize(m_Rows, Service);
+  if (Ahead.m_MilliCores <= Room.m_FreeMilliCores)
+    return Pause;
+  return Pause + m_Forecast.waitFor(m_Now, Ahead.m_Amount, m_MilliCoresInUse);
+}
+
+JobCore::Impl::QueuedWork
+JobCore::Impl::workBefore(const JobPlace &Place) const {
+  QueuedWork Work;
   for (const auto &[Other, Index] : m_Waiting) {
     if (!(Other < Place))
       break;
-    Work += waitingWork(m_Jobs[Index]);
+    Work.m_MilliCores += waitingCores(m_Jobs[Index]);
+    Work.m_Amount += waitingWork(m_Jobs[Index]);
   }
   return Work;
 }
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -53,7 +53,13 @@
   };
   std::optional<Refusal> refusalFor(const JobOffered &Event,
                                     const JobTimes &Times);
-  WorkAmount workBefore(const JobPlace &Place) const;
+  /// Of jobs that wait for room.
+  struct QueuedWork {
+    std::uint64_t m_MilliCores = 0;
+    WorkAmount m_Amount = 0;
+  };
+  QueuedWork workBefore(const JobPlace &Place) const;
+  Duration expectedWait(const JobPlace &Place, std::string_view Service);
   void accept(const JobOffered &Event, const JobTimes &Times);
   void refuse(const JobOffered &Event, const Refusal &Why);
 
--- a/tests/unit/JobLoadTest.cpp
+++ b/tests/unit/JobLoadTest.cpp
@@ -185,6 +185,32 @@
   BOOST_TEST((answers()[0].m_RetryAfter == 1s));
 }
 
+// Guards against refusals with endpoints free: an entry that stood still reads
+// many requests at once, and its rate of starts from before tells nothing.
+BOOST_AUTO_TEST_CASE(AnEntryThatStoodStillTakesWhatItsFreeRoomHolds) {
+  connectAgent(1, 10);
+  feed(Tick{});
+  advance(3s);
+  for (std::uint64_t Job = 1; Job <= 5; ++Job)
+    feed(offer(Job, 2, 900ms));
+  BOOST_TEST(answers().empty());
+  reportLoad(1);
+  pass(110ms);
+  BOOST_TEST(runsAt(1).size() == 10U);
+}
+
+// Guards against a job that is taken although starts are put off for longer
+// than it can wait.
+BOOST_AUTO_TEST_CASE(AJobThatCantWaitForStartsToGoOnIsRefusedAtOnce) {
+  connectAgent(1, 10);
+  feed(Tick{});
+  advance(3s);
+  // It may wait 48 ms, and starts go on after 100 ms.
+  feed(offer(1, 1, 60ms));
+  BOOST_REQUIRE(answers().size() == 1);
+  BOOST_TEST((answers()[0].m_Outcome == JobOutcome::NotRun));
+}
+
 // Guards against a caller that hears nothing because nothing else happens at
 // the entry.
 BOOST_AUTO_TEST_CASE(AJobThatFindsNoEndpointIsRefusedAtItsLatestStart) {
