Spread the copies of a configuration over time

Cause, found by reading: every entry of a domain sent the document to the same two agents at once; 350 routes are some 60 KB, and grown deployments have entry links of 2 to 25 Mbit/s, which a copy fills for up to a quarter of a second. Change: an entry waits for a random part of a second before it sends a copy and a second before the next; a copy that another entry has placed is not sent again. Test: NoCopyIsSentThatAnotherEntryHasSent failed before.

--- a/src/jobs/JobConfigCopies.cpp
+++ b/src/jobs/JobConfigCopies.cpp
@@ -13,6 +13,12 @@
 /// of them would only add bytes.
 constexpr std::size_t WantedCopies = 2;
 
+/// The entries of a domain adopt a change together. Each waits for a random
+/// part of this time before it sends a copy, and for all of it before the next
+/// one: the copy of the first, which its keeper tells of, spares the others
+/// theirs, and a large document does not fill a thin link.
+constexpr Duration CopyInterval = std::chrono::seconds(1);
+
 /// The store tells of a change at the same time as agents; an entry that has a
 /// configuration gives the store this long, so that it isn't sent twice.
 constexpr Duration StoreHeadStart = std::chrono::milliseconds(200);
@@ -24,7 +30,8 @@
 
 void JobCore::Impl::onEvent(const ConfigInForce &Event) {
   m_Config = Event;
-  placeCopies();
+  const auto Microseconds = static_cast<std::uint32_t>(CopyInterval.count());
+  m_NextCopyAt = m_Now + Duration(m_CopyDelays.below(Microseconds));
 }
 
 void JobCore::Impl::onMessage(RunnerIndex Index, const ConfigHeld &Message) {
@@ -53,19 +60,19 @@
 }
 
 void JobCore::Impl::placeCopies() {
-  if (m_Config.m_Version == 0)
+  if (m_Config.m_Version == 0 || m_Now < m_NextCopyAt ||
+      countCopies() >= WantedCopies)
     return;
-  for (std::size_t Copies = countCopies(); Copies < WantedCopies; ++Copies) {
-    const std::optional<RunnerIndex> Keeper = nextKeeper();
-    if (!Keeper)
-      return;
-    RunnerRow &Row = m_Rows[*Keeper];
-    Row.m_ConfigSent = m_Config.m_Version;
-    log("config-copy-sent", {{"agent", Row.m_AgentId},
-                             {"version", std::to_string(m_Config.m_Version)}});
-    send(Row, ConfigTransfer{m_Config.m_Version, m_Config.m_Offset, "",
-                             m_Config.m_Document});
-  }
+  const std::optional<RunnerIndex> Keeper = nextKeeper();
+  if (!Keeper)
+    return;
+  RunnerRow &Row = m_Rows[*Keeper];
+  Row.m_ConfigSent = m_Config.m_Version;
+  m_NextCopyAt = m_Now + CopyInterval;
+  log("config-copy-sent", {{"agent", Row.m_AgentId},
+                           {"version", std::to_string(m_Config.m_Version)}});
+  send(Row, ConfigTransfer{m_Config.m_Version, m_Config.m_Offset, "",
+                           m_Config.m_Document});
 }
 
 std::size_t JobCore::Impl::countCopies() const {
--- a/src/jobs/JobCore.cpp
+++ b/src/jobs/JobCore.cpp
@@ -64,7 +64,8 @@
 }
 
 JobCore::Impl::Impl(JobCoreOptions Options)
-    : m_Options(std::move(Options)), m_Placement(m_Options.m_Seed) {}
+    : m_Options(std::move(Options)), m_CopyDelays(m_Options.m_Seed),
+      m_Placement(m_Options.m_Seed) {}
 
 void JobCore::Impl::handle(TimePoint Now, const JobEvent &Event,
                            std::vector<JobCommand> &Commands) {
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -156,6 +156,9 @@
 
   /// In force; the version is 0 before the first one.
   ConfigInForce m_Config;
+  /// No copy is sent before this time.
+  TimePoint m_NextCopyAt{};
+  RandomSource m_CopyDelays;
   /// An agent was asked for its copy; max() when no answer is awaited.
   TimePoint m_ConfigAskedAt = TimePoint::max();
 
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -66,7 +66,6 @@
   reconcile(Index, Event.m_Hello);
   takeEndpoint(Index, Event.m_Hello.m_Endpoint);
   takeLoad(m_Rows[Index], Event.m_Hello.m_Load);
-  placeCopies();
 }
 
 RunnerIndex JobCore::Impl::rowOf(const RunnerHello &Hello) {
