--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -204,8 +204,7 @@
       continue;
     ++Sum.m_Endpoints;
     Sum.m_MilliCores += Row.m_Endpoint.m_Room.m_MilliCores;
-    Sum.m_FreeMilliCores +=
-        (Row.m_Endpoint.m_Room - Row.demand()).m_MilliCores;
+    Sum.m_FreeMilliCores += (Row.m_Endpoint.m_Room - Row.demand()).m_MilliCores;
   }
   return Sum;
 }
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -49,8 +49,8 @@
   static Fit fit(const std::vector<RunnerRow> &Rows, std::string_view Service,
                  const StepDeclaration &Step);
 
-  /// Cores of the service's sound endpoints that are in use, waited for or free,
-  /// as far as is known.
+  /// Cores of the service's sound endpoints that are in use, waited for or
+  /// free, as far as is known.
   static RoomSummary summarize(const std::vector<RunnerRow> &Rows,
                                std::string_view Service);
 
