--- /dev/null
+++ b/tests/unit/JobPlacementTest.cpp
@@ -0,0 +1,179 @@
+// Choice of endpoints: equal ones share the load; slow, stalled, failing and
+// silent ones are left out, and come back.
+#include "JobHarness.h"
+
+#include "jobs/Placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace cyclamencroft;
+using namespace std::chrono_literals;
+
+BOOST_FIXTURE_TEST_SUITE(JobPlacement, JobHarness)
+
+// Guards against an uneven spread over equal endpoints.
+BOOST_AUTO_TEST_CASE(TasksSpreadOverEqualEndpoints) {
+  for (std::uint64_t Agent = 1; Agent <= 4; ++Agent)
+    connectAgent(Agent, 10);
+  feed(offer(1, 20));
+  for (std::uint64_t Agent = 1; Agent <= 4; ++Agent)
+    BOOST_TEST(runsAt(Agent).size() == 5U);
+}
+
+// Guards against starts at an agent that does not answer: it is left out within
+// 150 ms.
+BOOST_AUTO_TEST_CASE(AnAgentThatTakesNoStartsIsSuspected) {
+  connectAgent(1);
+  connectAgent(2);
+  feed(offer(1, 2));
+  BOOST_REQUIRE(runsAt(1).size() == 1);
+  reportLoad(2);
+  pass(150ms);
+  reportLoad(2);
+  feed(offer(2, 4));
+  BOOST_TEST(runsAt(1).size() == 1U);
+  BOOST_TEST(runsAt(2).size() == 5U);
+}
+
+// Guards against an idle agent that is suspected at its first run.
+BOOST_AUTO_TEST_CASE(AnAgentIsNotSuspectedForHavingBeenIdle) {
+  connectAgent(1);
+  advance(1900ms);
+  feed(offer(1, 1));
+  feed(Tick{});
+  BOOST_TEST(core().status().m_ActiveEndpoints == 1U);
+}
+
+// Guards against an endpoint that fails everything and so is always free.
+BOOST_AUTO_TEST_CASE(AnEndpointThatFailsItsRunsIsTakenOut) {
+  for (std::uint64_t Agent = 1; Agent <= 4; ++Agent)
+    connectAgent(Agent, 100);
+  m_Policy.m_MaxAttempts = 9;
+  for (std::uint64_t Job = 1; Job <= 40; ++Job) {
+    feed(offer(Job, 4));
+    for (const RunName &Run : runsAt(1))
+      endRun(1, Run, RunEnd::Failed);
+    for (std::uint64_t Agent = 2; Agent <= 4; ++Agent)
+      for (const RunName &Run : runsAt(Agent))
+        endRun(Agent, Run);
+  }
+  take();
+  feed(offer(100, 20));
+  BOOST_TEST(messagesTo<StartTask>(1).size() <= 1U);
+}
+
+// Guards against tasks on an endpoint that has turned slow.
+BOOST_AUTO_TEST_CASE(ASlowEndpointGetsNoShortTasks) {
+  connectAgent(1, 100);
+  connectAgent(2, 100);
+  connectAgent(3, 100);
+  for (std::uint64_t Job = 1; Job <= 20; ++Job) {
+    feed(offer(Job, 6, 100ms));
+    advance(100ms);
+    for (std::uint64_t Agent = 2; Agent <= 3; ++Agent)
+      for (const RunName &Run : runsAt(Agent))
+        endRun(Agent, Run);
+    advance(300ms);
+    for (const RunName &Run : runsAt(1))
+      endRun(1, Run);
+    for (std::uint64_t Agent = 1; Agent <= 3; ++Agent)
+      reportLoad(Agent);
+  }
+  take();
+  // Not long ago, so that it is too early to try it again.
+  reportQuality(1, {400, 0, 100ms});
+  feed(offer(100, 6, 100ms));
+  BOOST_TEST(messagesTo<StartTask>(1).empty());
+}
+
+// Guards against an endpoint that is left out for good: one run after a while
+// tells that it has recovered.
+BOOST_AUTO_TEST_CASE(ASlowEndpointIsTriedAgainAndTakenBack) {
+  for (std::uint64_t Agent = 1; Agent <= 3; ++Agent)
+    connectAgent(Agent, 100);
+  // Another entry has learned this; nothing of this one ran there.
+  reportQuality(1, {800, 0, 0ms});
+  reportQuality(2, {100, 0, 0ms});
+  reportQuality(3, {100, 0, 0ms});
+  pass(100ms);
+  std::uint64_t Job = 0;
+  feed(offer(++Job, 120));
+  BOOST_TEST(runsAt(1).empty());
+  advance(100ms);
+  endAll();
+  pass(1600ms);
+  for (std::uint64_t Agent = 1; Agent <= 3; ++Agent)
+    reportQuality(Agent, {Agent == 1 ? 800U : 100U, 0, 1600ms});
+  feed(offer(++Job, 120));
+  BOOST_TEST_REQUIRE(runsAt(1).size() == 1U);
+  reportQuality(1, {100, 0, 0ms});
+  feed(offer(++Job, 120));
+  BOOST_TEST(runsAt(1).size() > 5U);
+}
+
+// Guards against a bad endpoint that each entry must find out about by itself.
+BOOST_AUTO_TEST_CASE(AnEndpointThatFailsForOthersGetsNoTasks) {
+  for (std::uint64_t Agent = 1; Agent <= 3; ++Agent)
+    connectAgent(Agent, 100);
+  reportQuality(1, {100, 46, 0ms});
+  reportQuality(2, {100, 2, 0ms});
+  reportQuality(3, {100, 0, 0ms});
+  pass(100ms);
+  feed(offer(1, 20));
+  BOOST_TEST(runsAt(1).empty());
+}
+
+// Guards against hopeless jobs that take every endpoint out of service.
+BOOST_AUTO_TEST_CASE(FailuresEverywhereTakeNoEndpointOut) {
+  for (std::uint64_t Agent = 1; Agent <= 3; ++Agent) {
+    connectAgent(Agent, 100);
+    reportQuality(Agent, {100, 50, 0ms});
+  }
+  pass(100ms);
+  feed(offer(1, 30));
+  BOOST_TEST(allRuns().size() == 30U);
+}
+
+// Guards against entries that see the same loads and all choose the endpoint
+// that is the least loaded: all but one would be refused there.
+BOOST_AUTO_TEST_CASE(ChoicesOfDifferentEntriesSpreadOverNearlyEqualEndpoints) {
+  std::set<RunnerIndex> Chosen;
+  std::vector<RunnerRow> Rows(20);
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index) {
+    Rows[Index].m_Link = LinkId{Index + 1};
+    Rows[Index].m_Endpoint.m_State = EndpointState::Active;
+    Rows[Index].m_Endpoint.m_Service = "desk";
+    Rows[Index].m_Endpoint.m_Room = {16000, 1000, 0};
+    const auto MilliCores = static_cast<std::uint32_t>(8000 + 10 * Index);
+    Rows[Index].m_Load.m_Reserved = {MilliCores, 0, 0};
+  }
+  StepDeclaration Step;
+  Step.m_Need = {1000, 1, 0};
+  PlacementQuery Query;
+  Query.m_Service = "desk";
+  Query.m_Step = &Step;
+  for (std::uint64_t Entry = 1; Entry <= 10; ++Entry)
+    Chosen.insert(*Placement(Entry).choose(Rows, Query, now()));
+  BOOST_TEST(Chosen.size() >= 5U);
+}
+
+// Guards against tasks that stand still at one endpoint until the caller gives
+// up: they are stopped and run elsewhere.
+BOOST_AUTO_TEST_CASE(ARunThatStandsStillIsStoppedAndRunElsewhere) {
+  connectAgent(1);
+  connectAgent(2);
+  feed(offer(1, 1, 100ms));
+  const std::uint64_t Stuck = runsAt(1).empty() ? 2 : 1;
+  for (int Round = 0; Round < 12; ++Round) {
+    pass(50ms);
+    reportLoad(1);
+    reportLoad(2);
+  }
+  BOOST_REQUIRE(messagesTo<StopRun>(Stuck).size() == 1);
+  endRun(Stuck, runsAt(Stuck)[0], RunEnd::Stopped);
+  BOOST_TEST(runsAt(3 - Stuck).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
