Take no rejection of a start that was sent twice for proof

Cause: the pool of connections sends a call again when a kept connection turns out to be reset. If the endpoint had executed the first copy and only the answer was lost, the second copy is rejected ('old' once the run has ended, 'room' or 'late' while the first copy may still be executed). The agent reported such a run as not started, so its task ran again, and a caller whose job was then given up was told that nothing had run.

Ruled out: the entry, which starts a task again only after a reported end; lost answers of holds, whose ends are listed until they are acknowledged.

Change: HttpResponse::m_Resent tells of the second copy; unless it has started the run, the agent stops the run and lets the lists decide. A call whose timeout passes in the queue (all connections busy, or the process suspended) is not sent any more; a start that was never sent ends at once instead of being stopped by another call.

--- a/src/cli/ConfigPublisher.cpp
+++ b/src/cli/ConfigPublisher.cpp
@@ -183,7 +183,7 @@
                          Request.m_LogAddress, formatConfigRecord(Change))));
   std::string Note = "the log confirmed the append";
   if (const auto *Fault = std::get_if<Error>(&Appended)) {
-    if (Fault->m_Step == "connect")
+    if (Fault->m_Step == ConnectStep)
       return {PublishStatus::NotReachable,
               Reader.stateMachine().currentVersion(), "", Fault->describe()};
     Note = Fault->describe();
--- a/src/cli/EntryCalls.cpp
+++ b/src/cli/EntryCalls.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned InvalidStatuses[] = {400, 404, 405, 413, 414, 431};
 
 CommandResult callFailed(const Error &Fault, const std::string &RequestId) {
-  const bool Sent = Fault.m_Step != "connect";
+  const bool Sent = Fault.m_Step != ConnectStep;
   const Json Fields{{"outcome", Sent ? "unknown" : "not-run"},
                     {"error", Fault.describe()},
                     {"request", RequestId}};
--- a/src/client/Client.cpp
+++ b/src/client/Client.cpp
@@ -60,7 +60,7 @@
 /// for a reason that concerns only the entry that was called.
 struct ShouldTryNextEntry {
   bool operator()(const Error &Fault) const {
-    return Fault.m_Step == "connect";
+    return Fault.m_Step == ConnectStep;
   }
 
   bool operator()(const HttpResponse &Response) const {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -37,7 +37,7 @@
     if (!Address) {
       // Posted, because httpCallAsync() must not call Done before it returns.
       boost::asio::post(m_Stream.get_executor(), [Self = shared_from_this()] {
-        Self->fail("connect", "the address is not IP:port");
+        Self->fail(std::string(ConnectStep), "the address is not IP:port");
       });
       return;
     }
@@ -74,7 +74,7 @@
 
   void connected(error_code Fault) {
     if (Fault)
-      return fail("connect", Fault.message());
+      return fail(std::string(ConnectStep), Fault.message());
     http::async_write(
         m_Stream, m_Request,
         [Self = shared_from_this()](error_code Failed, std::size_t) {
@@ -110,7 +110,7 @@
     finish(std::move(Response));
   }
 
-  void fail(const char *Step, std::string Reason) {
+  void fail(std::string Step, std::string Reason) {
     finish(Error{Step, m_Call.m_Address, std::move(Reason)});
   }
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace boost::asio {
@@ -29,8 +30,11 @@
   std::size_t m_MaxResponseBytes = std::size_t(64) * 1024 * 1024;
 };
 
-/// Error steps: "connect" (nothing was sent), "send request" and "read
-/// response" (the request may have taken effect).
+/// Error step of a call of which nothing was sent.
+constexpr std::string_view ConnectStep = "connect";
+
+/// Error steps: ConnectStep, "send request" and "read response" (the request
+/// may have taken effect).
 using HttpOutcome = std::variant<HttpResponse, Error>;
 
 /// Calls \p Done once on \p Io. The returned function cancels the call: it
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -28,6 +28,8 @@
   HttpCall m_Call;
   Callback m_Done;
   TimePoint m_Deadline{};
+  /// Sent before on a connection that was lost.
+  bool m_Resent = false;
 };
 
 /// One connection of the pool. A call that fails closes it.
@@ -43,17 +45,20 @@
 
   const std::string &address() const { return m_Address; }
 
+  /// A call whose timeout has passed is not sent: the process may have been
+  /// suspended, and what the call orders may no longer be wanted.
   void start(PendingCall Call) {
     m_Call = std::move(Call);
     const Duration Left = m_Call.m_Deadline - RuntimeClock::now();
-    m_Stream.expires_after(
-        std::max(Left, Duration(std::chrono::milliseconds(1))));
+    if (Left <= Duration{})
+      return finish(connectError("timed out before it was sent"));
+    m_Stream.expires_after(Left);
     prepareRequest();
     if (m_Open)
       return write();
     const auto Address = parseSocketAddress(m_Address);
     if (!Address)
-      return fail("connect", "the address is not IP:port");
+      return fail(connectError("the address is not IP:port"));
     m_Reused = false;
     m_Stream.async_connect(*Address,
                            [Self = shared_from_this()](error_code Fault) {
@@ -81,9 +86,10 @@
 
   void connected(error_code Fault) {
     if (Fault == boost::asio::error::connection_refused)
-      return fail(std::string(ConnectRefusedStep), Fault.message());
+      return fail(
+          {std::string(ConnectRefusedStep), m_Address, Fault.message()});
     if (Fault)
-      return fail("connect", Fault.message());
+      return fail(connectError(Fault.message()));
     error_code Ignored;
     m_Stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
     m_Open = true;
@@ -114,6 +120,7 @@
     if (Fault)
       return resendOrFail("read response", Fault);
     HttpResponse Response;
+    Response.m_Resent = m_Call.m_Resent;
     auto Message = m_Parser->release();
     Response.m_Status = Message.result_int();
     for (const auto &Field : Message)
@@ -130,17 +137,26 @@
   void resendOrFail(const char *Step, error_code Fault) {
     const bool Stale = m_Reused && Fault != boost::beast::error::timeout;
     if (!Stale)
-      return fail(Step, Fault.message());
+      return fail({Step, m_Address, Fault.message()});
     m_Stream.close();
     m_Open = false;
     m_Buffer.clear();
+    m_Call.m_Resent = true;
     start(std::move(m_Call));
   }
 
-  void fail(std::string Step, std::string Reason) {
+  /// Error before the request was sent on the present connection. A call that
+  /// was sent on an earlier one may have taken effect.
+  Error connectError(std::string Reason) const {
+    const std::string_view Step =
+        m_Call.m_Resent ? std::string_view("send request") : ConnectStep;
+    return {std::string(Step), m_Address, std::move(Reason)};
+  }
+
+  void fail(Error Fault) {
     m_Stream.close();
     m_Open = false;
-    finish(Error{std::move(Step), m_Address, std::move(Reason)});
+    finish(std::move(Fault));
   }
 
   void finish(HttpOutcome Outcome) {
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -17,7 +17,9 @@
 constexpr std::string_view ConnectRefusedStep = "connect refused";
 
 /// Only for calls that may be repeated: a call is sent again on a new
-/// connection when the peer turns out to have closed the keep-alive connection.
+/// connection when the peer turns out to have closed the keep-alive connection;
+/// HttpResponse::m_Resent tells so. A call whose timeout passes while it is
+/// queued is not sent and fails with ConnectStep.
 ///
 /// \p Io is run by one thread; every method is called on that thread or while
 /// it isn't running.
--- a/src/runs/RunEvents.h
+++ b/src/runs/RunEvents.h
@@ -51,6 +51,7 @@
 enum class CallFault : std::uint8_t {
   None,
   Refused,          ///< No process listens at the address.
+  NotSent,          ///< Nothing was sent; no effect.
   NoAnswer,         ///< The call may have taken effect, or may still do so.
   OtherIncarnation, ///< Another incarnation answered; no effect.
   Unhealthy,        ///< The endpoint reported a failure; no effect.
@@ -70,6 +71,9 @@
   CallFault m_Fault = CallFault::None;
   StartResult m_Result = StartResult::Started;
   std::optional<EndpointMs> m_Clock;
+  /// The call was sent twice. The result is that of the second one; the first
+  /// one may have taken effect before it, or may do so later.
+  bool m_Resent = false;
 };
 
 struct StopAnswered {
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -167,6 +167,7 @@
     return markEndpointLost("hold-refused");
   case CallFault::OtherIncarnation:
     return markEndpointLost("other-endpoint-at-address");
+  case CallFault::NotSent:
   case CallFault::NoAnswer:
     m_NextHoldAt = std::max(m_Now, m_HoldSentAt + HoldInterval);
     if (m_Now - m_HoldAnsweredAt < UnresponsiveAfter)
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -143,11 +143,21 @@
   if (Found == m_Runs.end())
     return;
   Run &Answered = Found->second;
+  const bool Started = Event.m_Fault == CallFault::None &&
+                       Event.m_Result == StartResult::Started;
+  // The answer to the second call doesn't tell whether the first one has
+  // started the run or may still do so. After a stop, the lists do.
+  if (Event.m_Resent && !Started && Event.m_Fault != CallFault::Refused)
+    return stop(Event.m_Run, Answered, "start-sent-twice");
   switch (Event.m_Fault) {
   case CallFault::None:
     break;
   case CallFault::Refused:
     return markEndpointLost("start-refused");
+  case CallFault::NotSent:
+    ++m_Counters.m_UnansweredCalls;
+    m_Meter.runFailed(m_Now);
+    return endAsNotStarted(Event.m_Run, StartRefusal::Unhealthy);
   case CallFault::NoAnswer:
     ++m_Counters.m_UnansweredCalls;
     if (Answered.m_StartConfirmed)
--- a/tests/unit/HttpConnectionPoolTest.cpp
+++ b/tests/unit/HttpConnectionPoolTest.cpp
@@ -91,6 +91,23 @@
   serve(Address);
   const HttpOutcome Outcome = call(Pool, Address, "again");
   BOOST_REQUIRE(std::holds_alternative<HttpResponse>(Outcome));
+  BOOST_TEST(std::get<HttpResponse>(Outcome).m_Resent);
+}
+
+// Guards against an order that is sent after its time, because all connections
+// were busy or the process was suspended.
+BOOST_AUTO_TEST_CASE(ACallThatTimesOutInTheQueueIsNotSent) {
+  serve();
+  m_Hold = true;
+  HttpConnectionPool Pool(m_Io, 1);
+  HttpCall First;
+  First.m_Address = address();
+  First.m_Timeout = 100ms;
+  Pool.call(First, [](const HttpOutcome &) {});
+  BOOST_TEST(stepOf(call(Pool, address(), "late", 30ms)) == ConnectStep);
+  m_Io.restart();
+  m_Io.run_for(50ms);
+  BOOST_TEST(m_Held.size() == 1U);
 }
 
 // Guards against reporting a crashed endpoint like one that does not respond.
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -10,6 +10,9 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <iterator>
+#include <random>
+
 using namespace cyclamencroft;
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
@@ -234,10 +237,70 @@
   BOOST_TEST((Read(answer(503, {})).m_Fault == CallFault::Unhealthy));
   BOOST_TEST(
       (Read(Error{"read response", "", ""}).m_Fault == CallFault::NoAnswer));
+  BOOST_TEST((Read(Error{std::string(ConnectStep), "", ""}).m_Fault ==
+              CallFault::NotSent));
   BOOST_TEST((Read(Error{std::string(ConnectRefusedStep), "", ""}).m_Fault ==
               CallFault::Refused));
 }
 
+// Guards against an answer that ends the process, and against one that can't be
+// read and is taken for a rejection although the run was started.
+BOOST_AUTO_TEST_CASE(MalformedAnswersToCallsAreNoProof) {
+  const auto Read = [](unsigned Status, const std::string &Body) {
+    return platform::readStart(Run, HttpResponse{Status, {}, Body});
+  };
+  for (const char *Body : {"", "[]", "{", "7", "\xff\xfe"})
+    BOOST_TEST((Read(200, Body).m_Fault == CallFault::NoAnswer));
+  BOOST_TEST((Read(500, "").m_Fault == CallFault::NoAnswer));
+  for (const char *Body : {"{}", R"({"reason":7})", R"({"reason":["fence"]})"})
+    BOOST_TEST((Read(409, Body).m_Fault == CallFault::Invalid));
+  const StartAnswered Answer = Read(200, R"({"clock_ms":1e300})");
+  BOOST_TEST((Answer.m_Fault == CallFault::None));
+  BOOST_TEST(!Answer.m_Clock.has_value());
+}
+
+// Guards against any answer of an endpoint that ends the process: bytes of
+// valid answers are replaced, inserted and removed at random.
+BOOST_AUTO_TEST_CASE(MutatedAnswersAndAnnouncementsDoNotThrow) {
+  const std::string Valid[] = {
+      R"({"clock_ms":5,"reason":"fence"})",
+      R"({"clock_ms":5,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],)"
+      R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+      HeartbeatBody.dump()};
+  constexpr char Replacements[] = "{}[]\",:-.0917eEtfnu\\ \xff";
+  std::minstd_rand Random(1);
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Body = Valid[Random() % std::size(Valid)];
+    for (unsigned Edits = 1 + Random() % 4; Edits > 0 && !Body.empty();
+         --Edits) {
+      const std::size_t At = Random() % Body.size();
+      const char Byte = Replacements[Random() % (sizeof(Replacements) - 1)];
+      switch (Random() % 3) {
+      case 0:
+        Body[At] = Byte;
+        break;
+      case 1:
+        Body.insert(At, 1, Byte);
+        break;
+      default:
+        Body.erase(At, 1 + Random() % 8);
+      }
+    }
+    const unsigned Status = Random() % 2 == 0 ? 200 : 409;
+    const HttpResponse Response{Status, {}, Body};
+    BOOST_TEST_CONTEXT(Body) {
+      BOOST_REQUIRE_NO_THROW(platform::readStart(Run, Response));
+      BOOST_REQUIRE_NO_THROW(platform::readStop(Run, Response));
+      BOOST_REQUIRE_NO_THROW(platform::readHold(1, Response));
+      HttpRequest Request(boost::beast::http::verb::put, "/-/instances/i", 11);
+      Request.body() = Body;
+      BOOST_REQUIRE_NO_THROW(platform::readAnnouncement(Request));
+      BOOST_REQUIRE_NO_THROW(platform::readConfiguration(Body));
+      BOOST_REQUIRE_NO_THROW(platform::readJob(JobId{1}, Body));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AHoldListsRunningAndEndedRuns) {
   const HoldAnswered Answer = platform::readHold(
       3, answer(200,
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -135,6 +135,36 @@
   BOOST_TEST((onlyEnd().m_End == RunEnd::NotStarted));
 }
 
+// Guards against reporting a run as not started, so that its task runs again,
+// when the endpoint executed the call, the connection was reset before the
+// answer, and the run had ended when the call was sent again.
+BOOST_AUTO_TEST_CASE(ARejectionOfACallThatWasSentTwiceIsNoProof) {
+  for (const StartResult Result :
+       {StartResult::Superseded, StartResult::NoCapacity, StartResult::Late}) {
+    const RunName Run = runNamed(static_cast<std::uint32_t>(Result));
+    startTask(Run);
+    feed(StartAnswered{Run, CallFault::None, Result, 50000, true});
+    BOOST_TEST(messages<TaskEnded>().empty());
+    BOOST_REQUIRE(!commands<CallStop>().empty());
+    BOOST_TEST((commands<CallStop>().back().m_Run == Run));
+    feed(StopAnswered{Run, CallFault::None, false, 50000});
+    answerHold({});
+    answerHold({}, {{1 + std::uint64_t(Result), Run, RunEnd::Done}});
+    BOOST_TEST((onlyEnd().m_End == RunEnd::Done));
+    clearCommands();
+  }
+}
+
+// Guards against stopping, and counting as doubtful, a run whose start call
+// never left the host.
+BOOST_AUTO_TEST_CASE(AStartThatWasNotSentEndsAtOnce) {
+  startTask(runNamed(0));
+  feed(
+      StartAnswered{runNamed(0), CallFault::NotSent, StartResult::Started, {}});
+  BOOST_TEST((onlyEnd().m_End == RunEnd::NotStarted));
+  BOOST_TEST(commands<CallStop>().empty());
+}
+
 // Guards against hundreds of connections per second to an endpoint that resets
 // each one.
 BOOST_AUTO_TEST_CASE(AnUnansweredStopIsRepeatedWithBackoff) {
