End the connection, not the process, when a handler throws

Cause: an exception that left a handler of the platform's daemons ended io_context::run() and so the process with all its jobs or runs. On a link, the websocket library would not read on after such an exception, and a follower of the store would not have sent its next read.

Change: the event loops log the exception (handler-failed) and go on; a link whose message can't be handled is closed, so that both sides reconcile on a new one; the follower skips the record (record-failed); the commands after one that fails are still executed (command-failed).

--- a/apps/CoreLoop.h
+++ b/apps/CoreLoop.h
@@ -5,9 +5,11 @@
 #include "core/Messages.h"
 #include "core/RuntimeTimer.h"
 #include "entry/EntryEvents.h"
+#include "telemetry/EventLog.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <exception>
 #include <functional>
 #include <map>
 #include <utility>
@@ -48,7 +50,7 @@
     while (!m_Commands.empty() || !m_Outgoing.empty()) {
       std::vector<Command> Commands = std::exchange(m_Commands, {});
       for (Command &Current : Commands)
-        m_Handlers.m_CarryOut(Current);
+        carryOut(Current);
       flush();
     }
     m_Executing = false;
@@ -68,6 +70,15 @@
   }
 
 private:
+  /// The commands after one that fails are still executed.
+  void carryOut(Command &Current) {
+    try {
+      m_Handlers.m_CarryOut(Current);
+    } catch (const std::exception &Fault) {
+      logEvent(LogLevel::Error, "command-failed", {{"reason", Fault.what()}});
+    }
+  }
+
   void armTimer() {
     const TimePoint Next = m_Core.nextWakeup();
     if (Next == m_TimerExpiry)
--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -3,6 +3,7 @@
 #include "JobEntryDaemon.h"
 
 #include "CoreLoop.h"
+#include "EventLoop.h"
 #include "JobCallers.h"
 #include "ReloadSignal.h"
 
@@ -122,9 +123,9 @@
     m_Announcer.start();
     std::thread HttpThread([this] {
       const RcuReaderThread Reader;
-      m_HttpIo.run();
+      runEventLoop(m_HttpIo, "http");
     });
-    m_CoreIo.run();
+    runEventLoop(m_CoreIo, "core");
     m_HttpIo.stop();
     HttpThread.join();
     logEvent(LogLevel::Info, "stopped",
--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -4,6 +4,7 @@
 
 #include "CoreLoop.h"
 #include "EntryDirectory.h"
+#include "EventLoop.h"
 #include "ReloadSignal.h"
 
 #include "core/RuntimeTimer.h"
@@ -119,7 +120,7 @@
     for (const std::string &Host : m_Settings.m_SeedHosts)
       m_Entries.addSeed(Host, m_Settings.m_EntryLinkPort);
     m_Follower.start();
-    m_Io.run();
+    runEventLoop(m_Io, "core");
     logEvent(LogLevel::Info, "stopped", {});
   }
 
--- a/src/link/WebsocketLinks.h
+++ b/src/link/WebsocketLinks.h
@@ -17,6 +17,7 @@
 #include <websocketpp/logger/stub.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <random>
 #include <string>
@@ -133,7 +134,11 @@
     auto [Messages, Fault] = readFrame(Message->get_payload());
     if (!Fault.empty())
       return refuse(Con, Fault);
-    m_Handlers.m_OnMessages(Link, std::move(Messages));
+    try {
+      m_Handlers.m_OnMessages(Link, std::move(Messages));
+    } catch (const std::exception &Failed) {
+      refuse(Con, std::string("handling failed: ") + Failed.what());
+    }
   }
 
   /// Called when the connection has ended; returns false when the link was
--- a/src/store/TopicFollower.cpp
+++ b/src/store/TopicFollower.cpp
@@ -3,6 +3,7 @@
 
 #include "telemetry/EventLog.h"
 
+#include <exception>
 #include <utility>
 
 namespace cyclamencroft {
@@ -94,8 +95,18 @@
 }
 
 void TopicFollower::deliver(const KeyedRecord &Record) {
-  if (m_Options.m_Key.empty() || Record.m_Key == m_Options.m_Key)
+  if (!m_Options.m_Key.empty() && Record.m_Key != m_Options.m_Key)
+    return;
+  // A record that can't be handled must not keep later ones from being read.
+  try {
     m_Handle(Record);
+  } catch (const std::exception &Fault) {
+    logEvent(LogLevel::Error, "record-failed",
+             {{"topic", m_Options.m_Topic},
+              {"key", Record.m_Key},
+              {"offset", std::to_string(Record.m_Offset)},
+              {"reason", Fault.what()}});
+  }
 }
 
 void TopicFollower::handleFault(const std::string &Reason) {
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -200,6 +200,24 @@
   BOOST_TEST(Accepting.m_Messages.empty());
 }
 
+// Guards against a link that stays open but is no longer read, and against the
+// end of the process, after an error in the handling of a message.
+BOOST_AUTO_TEST_CASE(AnExceptionInAHandlerClosesTheLink) {
+  boost::asio::io_context Io;
+  LinkRecorder Accepting, Connecting;
+  LinkHandlers Throwing = Accepting.handlers();
+  Throwing.m_OnMessages = [](LinkId, const std::vector<LinkMessage> &) {
+    throw std::runtime_error("unexpected");
+  };
+  LinkServer Server(Io, "127.0.0.1:0", std::move(Throwing));
+  LinkClient Client(Io, addressOf(Server), Connecting.handlers());
+  Client.start();
+  runUntil(Io, [&] { return !Connecting.m_Opened.empty(); });
+  Client.send(Connecting.m_Opened[0], {Ping{1}});
+  runUntil(Io, [&] { return Accepting.m_Closed.size() == 1; });
+  runUntil(Io, [&] { return Connecting.m_Opened.size() == 2; });
+}
+
 // Guards against a server that retries in a busy loop, or never accepts again,
 // when the process has no file descriptor left.
 BOOST_AUTO_TEST_CASE(AcceptingWaitsForADescriptor) {
--- a/tests/unit/TopicFollowerTest.cpp
+++ b/tests/unit/TopicFollowerTest.cpp
@@ -167,6 +167,23 @@
   BOOST_TEST(m_Seen.back().m_Value == "2");
 }
 
+// Guards against a follower that stops after a record that its owner can't
+// handle.
+BOOST_AUTO_TEST_CASE(ARecordThatCantBeHandledIsSkipped) {
+  m_Log = {{"a", "bad", 0}};
+  TopicFollower Follower(m_Io, store(), {"topic", "", 10ms},
+                         [this](const KeyedRecord &Record) {
+                           if (Record.m_Value == "bad")
+                             throw std::runtime_error("unexpected");
+                           m_Seen.push_back(Record);
+                         });
+  Follower.start();
+  m_Io.run_for(100ms);
+  m_Log.push_back({"a", "2", 1});
+  runUntil(1);
+  BOOST_TEST(m_Seen[0].m_Value == "2");
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheWantedKeyIsHandled) {
   m_Log = {{"a", "1", 0}, {"b", "2", 1}};
   TopicFollower Follower(m_Io, store(), {"topic", "b", 10ms}, handler());
