Refuse starts behind a hello that was itself held up

Cause: an agent measures how late a message is against the fastest message of its link. If a partition holds up the first messages of a new link, the hello and the starts behind it look punctual to each other.

Ruled out: leases and starts on links that have carried a quick message before; they are measured against it. The same for a suspended entry: its messages carry the time of sending.

Change: the agent takes the round trip of its hello as the upper bound of the first delay. If that is too long for a start to end before the entry gives it up, starts are refused and leases not extended until a ping is answered quickly.

Test that fails without it: AStartBehindADelayedHelloIsRefused.

--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -104,6 +104,7 @@
   void onMessage(RunnerIndex Index, const LoadReport &Report);
   void onMessage(RunnerIndex Index, const TaskEnded &Ended);
   void onMessage(RunnerIndex Index, const Goodbye &Message);
+  void onMessage(RunnerIndex Index, const Ping &Message);
   /// Handles any message that run agents don't send to entries.
   template <class T> void onMessage(RunnerIndex Index, const T &) {
     dropRunner(Index, "message of a type that run agents don't send");
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -137,6 +137,13 @@
   dropRunner(Index, "goodbye");
 }
 
+/// The agent measures the delay of the lease that follows the pong.
+void JobCore::Impl::onMessage(RunnerIndex Index, const Ping &Message) {
+  RunnerRow &Row = m_Rows[Index];
+  send(Row, Pong{Message.m_Number});
+  extendLease(Row);
+}
+
 void JobCore::Impl::updateEndpoint(RunnerIndex Index,
                                    const EndpointView &Endpoint) {
   RunnerRow &Row = m_Rows[Index];
--- a/src/runs/EntryLink.h
+++ b/src/runs/EntryLink.h
@@ -4,6 +4,7 @@
 #include "agent/DelayEstimate.h"
 #include "runs/RunEvents.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -21,6 +22,12 @@
   std::string m_EntryId;
   Incarnation m_Entry{};
   DelayEstimate m_Delay;
+  /// When the RunnerHello or, after it, the latest Ping was sent.
+  TimePoint m_RequestSentAt{};
+  std::uint64_t m_LastPing = 0;
+  /// The first message that m_Delay includes answered a request in time. Until
+  /// then, leases are not extended and starts are refused.
+  bool m_DelayMeasured = false;
   /// Runs of the entry are stopped at this time, unless the lease is extended.
   TimePoint m_LeaseExpiresAt{};
   /// StartTask messages received on the present connection.
--- a/src/runs/LeaseTimes.h
+++ b/src/runs/LeaseTimes.h
@@ -37,4 +37,19 @@
          EndpointLease * EndpointLeaseExpiryPercent / 100 + Margin;
 }
 
+/// A start that is delayed in transit for longer is refused, because the entry
+/// may have abandoned the task. Well below the entry's lease.
+constexpr Duration MaxStartDelay = std::chrono::milliseconds(300);
+
+/// Longest transit time that the first message of a link may have had. An agent
+/// measures the delays of a link against its fastest message so far, so a start
+/// may be delayed by this much and by MaxStartDelay when it is accepted. It
+/// must then end with its lease before the entry starts the task elsewhere.
+constexpr Duration maxUnmeasuredDelay(Duration EndpointLease) {
+  constexpr Duration StopMargin = std::chrono::milliseconds(100);
+  const TimePoint SentAt{};
+  return allLeasesExpiredAt(SentAt, EndpointLease) - SentAt - EntryLeaseTime -
+         MaxStartDelay - StopMargin;
+}
+
 } // namespace cyclamencroft
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -80,13 +80,17 @@
   void onMessage(EntryLink &Link, const EntryLease &Message);
   void onMessage(EntryLink &Link, const ConfigTransfer &Message);
   void onMessage(EntryLink &Link, const ConfigRequest &Message);
+  void onMessage(EntryLink &Link, const Pong &Message);
   void onMessage(EntryLink &Link, const Goodbye &Message);
   /// Any message that entries don't send to run agents.
   template <class T> void onMessage(EntryLink &Link, const T &) {
     dropLink(Link, "message of a type that entries don't send to run agents");
   }
   EntryLink *findLink(LinkId Link);
-  /// Returns the transit time of the message in excess of the usual one.
+  /// Called when the entry has answered the hello or a ping.
+  void measureRoundTrip(EntryLink &Link);
+  /// Returns the transit time of the message in excess of the usual one;
+  /// Duration::max() when the usual one is not known.
   Duration extendLease(EntryLink &Link, TimePoint SentAt);
   void sendHello(EntryLink &Link);
   void dropLink(EntryLink &Link, std::string Reason);
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -30,10 +30,9 @@
   Link.m_Address = Event.m_Address;
   Link.m_Link = Event.m_Link;
   Link.m_HelloReceived = false;
+  Link.m_DelayMeasured = false;
   Link.m_LastMessageAt = m_Now;
   Link.m_StartsReceived = 0;
-  // The minimum delay may differ on a new connection.
-  Link.m_Delay = DelayEstimate{};
   sendHello(Link);
 }
 
@@ -54,6 +53,7 @@
   Hello.m_Endpoint = m_View;
   Hello.m_Endpoint.m_State = offeredState();
   Hello.m_Load = load(Link);
+  Link.m_RequestSentAt = m_Now;
   send(Link, std::move(Hello));
 }
 
@@ -89,6 +89,7 @@
   Link.m_HelloReceived = true;
   Link.m_EntryId = Hello.m_EntryId;
   Link.m_Entry = Hello.m_Incarnation;
+  measureRoundTrip(Link);
   extendLease(Link, Hello.m_SentAt);
   log("entry-link-open",
       {{"entry", Hello.m_EntryId}, {"address", Link.m_Address}});
@@ -126,7 +127,33 @@
   dropLink(Link, "goodbye");
 }
 
+/// The answer may have been delayed in transit for as long as the round trip
+/// took. If that is too long, the round trip is measured again.
+void RunnerCore::Impl::measureRoundTrip(EntryLink &Link) {
+  const Duration RoundTrip = m_Now - Link.m_RequestSentAt;
+  // The minimum delay may differ on a new connection.
+  Link.m_Delay = DelayEstimate{};
+  Link.m_DelayMeasured =
+      RoundTrip <= maxUnmeasuredDelay(m_Options.m_EndpointLease);
+  if (Link.m_DelayMeasured)
+    return;
+  log("entry-answer-late",
+      {{"entry", Link.m_EntryId},
+       {"round-trip-us", std::to_string(RoundTrip.count())}});
+  Link.m_RequestSentAt = m_Now;
+  send(Link, Ping{++Link.m_LastPing});
+}
+
+/// The entry sends a lease after each pong, which becomes the first message
+/// that the delays of the link are measured against.
+void RunnerCore::Impl::onMessage(EntryLink &Link, const Pong &Message) {
+  if (Message.m_Number == Link.m_LastPing)
+    measureRoundTrip(Link);
+}
+
 Duration RunnerCore::Impl::extendLease(EntryLink &Link, TimePoint SentAt) {
+  if (!Link.m_DelayMeasured)
+    return Duration::max();
   const Duration Delay = Link.m_Delay.excessDelay(m_Now, SentAt);
   Link.m_LeaseExpiresAt =
       std::max(Link.m_LeaseExpiresAt, m_Now - Delay + EntryLeaseTime);
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -1,4 +1,5 @@
 // State changes of a run at the agent, from its start request to its end.
+#include "runs/LeaseTimes.h"
 #include "runs/RunnerCoreImpl.h"
 
 #include <algorithm>
@@ -7,10 +8,6 @@
 namespace cyclamencroft {
 namespace {
 
-/// A start request with a longer delay in transit is refused, because the entry
-/// may have abandoned the task. Well below the entry's lease.
-constexpr Duration MaxStartDelay = std::chrono::milliseconds(300);
-
 /// Maximum time in the queue before a run is refused: at a busy endpoint,
 /// several other runs end within this time.
 constexpr Duration MaxWait = std::chrono::milliseconds(20);
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -261,6 +261,36 @@
   BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
 }
 
+// Guards against a second run of a task: a partition held up the first messages
+// of a new link until the entry had started the task elsewhere. Measured
+// against each other, these messages are not late.
+BOOST_AUTO_TEST_CASE(AStartBehindADelayedHelloIsRefused) {
+  feed(LinkClosed{Link});
+  feed(RunnerLinkOpened{LinkId{8}, "127.0.0.1:80"});
+  const TimePoint SentAt = now();
+  advance(2s);
+  clearCommands();
+  EntryHello Hello;
+  Hello.m_Incarnation = Entry;
+  Hello.m_SentAt = SentAt;
+  feed(MessageReceived{LinkId{8}, Hello});
+  feed(MessageReceived{
+      LinkId{8},
+      StartTask{runNamed(0), {1000, 1, 0}, SentAt + 50ms, {}, {}, nullptr}});
+  BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
+  // A quick answer to a ping makes the link usable.
+  const auto Pings = messages<Ping>();
+  BOOST_REQUIRE(Pings.size() == 1);
+  clearCommands();
+  advance(5ms);
+  feed(MessageReceived{LinkId{8}, Pong{Pings[0].m_Number}});
+  sendLease(LinkId{8});
+  feed(MessageReceived{
+      LinkId{8},
+      StartTask{runNamed(0, 2), {1000, 1, 0}, now(), {}, {}, nullptr}});
+  BOOST_TEST(commands<CallStart>().size() == 1U);
+}
+
 // Guards against two runs of one task at an agent when a caller's second entry
 // starts a task that is still running for the first one.
 BOOST_AUTO_TEST_CASE(ATaskThatIsRunningIsNotStartedAgain) {
