Let each entry set how often agents report their load to it

Cause: every agent reported each change of its load to every entry, 10 ms apart at most. At 80 endpoints with 120 starts and ends a second each, an entry received about 4,000 reports a second, but only 300 to 500 ends of its own runs; in a burst each report also tried the waiting jobs again. The smallest entries (0.12 core) answered late and gave up jobs of which nothing had been sent.

Change: an entry asks for 1,000 reports a second in all; the interval for each agent follows from their number and is part of the lease (protocol version 2). A start is still confirmed within 10 ms to the entry that sent it.

Tests that fail without it: LoadReportsKeepTheIntervalThatTheEntrySets, TheReportIntervalGrowsWithTheNumberOfAgents; AStartIsConfirmedSoonWhateverThe- ReportInterval guards the other side. Tests of the protocol's version name ProtocolVersion instead of a literal.

--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -18,7 +18,7 @@
 namespace cyclamencroft {
 
 /// Version of the link protocol; a peer with another version is rejected.
-constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::uint32_t ProtocolVersion = 2;
 
 /// Whether an agent accepts new work.
 enum class AgentState : std::uint8_t { Active = 0, Draining = 1 };
@@ -245,6 +245,9 @@
 /// delayed message doesn't extend it.
 struct EntryLease {
   TimePoint m_SentAt{};
+  /// Shortest time between two load reports that the sender wants; it grows
+  /// with the number of agents, so that their reports don't overload an entry.
+  Duration m_ReportInterval{};
 };
 
 /// Version of the configuration of which the sending agent keeps a copy.
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -133,6 +133,7 @@
   void assess(RunnerRow &Row);
   void stopStalled(RunnerIndex Index, const RunName &Name, OwnRun &Run);
   void extendLease(RunnerRow &Row);
+  Duration reportInterval() const;
   void send(RunnerRow &Row, LinkMessage Message);
 
   JobCoreOptions m_Options;
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -32,6 +32,9 @@
 /// Time that a request to stop a run takes, including the links in between.
 constexpr Duration StopTime = std::chrono::milliseconds(60);
 
+/// Load reports that an entry takes per second from all agents together.
+constexpr Duration::rep MaxReportsPerSecond = 1000;
+
 Duration scaled(Duration Time, double Factor) {
   return Duration(
       static_cast<Duration::rep>(static_cast<double>(Time.count()) * Factor));
@@ -244,7 +247,14 @@
 void JobCore::Impl::extendLease(RunnerRow &Row) {
   Row.m_LeaseSentAt = m_Now;
   Row.m_AnswerAwaitedSince = std::min(Row.m_AnswerAwaitedSince, m_Now);
-  send(Row, EntryLease{m_Now});
+  send(Row, EntryLease{m_Now, reportInterval()});
+}
+
+/// Reports of other entries' runs arrive from every agent. Bounding their rate
+/// leaves the processor of an entry to its jobs in a fleet of any size.
+Duration JobCore::Impl::reportInterval() const {
+  return std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) *
+         static_cast<Duration::rep>(m_RowByLink.size()) / MaxReportsPerSecond;
 }
 
 /// Marks an endpoint whose runs are stalled or have become far slower, and
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -155,6 +155,7 @@
   }
   template <class M> void visit(M &Message, EntryLease *) const {
     m_Visit("sent at", Message.m_SentAt);
+    m_Visit("report interval", Message.m_ReportInterval);
   }
   template <class M> void visit(M &Message, ConfigHeld *) const {
     m_Visit("config version", Message.m_Version);
--- a/src/runs/EntryLink.h
+++ b/src/runs/EntryLink.h
@@ -45,6 +45,10 @@
   /// again with the next hello.
   std::deque<SentEnd> m_RecentEnds;
 
+  /// Shortest time between two load reports.
+  Duration m_ReportInterval{};
+  /// When the entry was last told the load, in a report or with a run end.
+  TimePoint m_LoadSentAt{};
   /// Time at which a load report is due; max() for none.
   TimePoint m_ReportDueAt = TimePoint::max();
 };
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -97,7 +97,9 @@
   void send(EntryLink &Link, LinkMessage Message);
   void reportRunEnd(EntryLink &Owner, TaskEnded End);
   void reportLoad(EntryLink &Link);
-  void markReportsDue();
+  /// Schedules load reports after the load has changed. \p StartedBy has sent a
+  /// start and suspects the agent unless a report confirms it soon.
+  void markReportsDue(const EntryLink *StartedBy);
   void reportEndpoint();
   bool holdsRunsOf(const EntryLink &Link) const;
 
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -8,9 +8,11 @@
 namespace cyclamencroft {
 namespace {
 
-/// Minimum time between two load reports to one entry: limits the message rate
-/// of a busy endpoint, and is short compared with tasks of 60 ms.
-constexpr Duration ReportInterval = std::chrono::milliseconds(10);
+/// Bounds of the time between two load reports to one entry, which the entry
+/// sets. The lower one limits the message rate of a busy endpoint; the upper
+/// one keeps an entry from acting on a load that was reported seconds ago.
+constexpr Duration MinReportInterval = std::chrono::milliseconds(10);
+constexpr Duration MaxReportInterval = std::chrono::milliseconds(500);
 
 /// Reported run ends are kept this long, to be repeated on a new connection.
 /// Longer than any job's deadline for which a lost end still matters.
@@ -118,6 +120,8 @@
 
 void RunnerCore::Impl::onMessage(EntryLink &Link, const EntryLease &Message) {
   extendLease(Link, Message.m_SentAt);
+  Link.m_ReportInterval = std::clamp(Message.m_ReportInterval,
+                                     MinReportInterval, MaxReportInterval);
   reportLoad(Link);
 }
 
@@ -181,18 +185,27 @@
     return;
   send(Owner, End);
   Owner.m_ReportDueAt = TimePoint::max();
+  Owner.m_LoadSentAt = m_Now;
 }
 
 void RunnerCore::Impl::reportLoad(EntryLink &Link) {
   Link.m_ReportDueAt = TimePoint::max();
+  Link.m_LoadSentAt = m_Now;
   if (Link.m_HelloReceived)
     send(Link, LoadReport{load(Link)});
 }
 
-void RunnerCore::Impl::markReportsDue() {
-  for (auto &[Address, Link] : m_Links)
-    if (Link.m_HelloReceived)
-      Link.m_ReportDueAt = std::min(Link.m_ReportDueAt, m_Now + ReportInterval);
+void RunnerCore::Impl::markReportsDue(const EntryLink *StartedBy) {
+  const TimePoint Soonest = m_Now + MinReportInterval;
+  for (auto &[Address, Link] : m_Links) {
+    if (!Link.m_HelloReceived)
+      continue;
+    const TimePoint Due =
+        &Link == StartedBy
+            ? Soonest
+            : std::max(Soonest, Link.m_LoadSentAt + Link.m_ReportInterval);
+    Link.m_ReportDueAt = std::min(Link.m_ReportDueAt, Due);
+  }
 }
 
 void RunnerCore::Impl::reportEndpoint() {
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -90,7 +90,7 @@
   Added.m_LatestStart = m_Now + Message.m_StartWithin;
   Added.m_WaitExpiresAt = m_Now + MaxWait;
   m_Waiting.add(std::move(Added), m_Now);
-  markReportsDue();
+  markReportsDue(&Link);
 }
 
 void RunnerCore::Impl::startWaiting() {
@@ -292,7 +292,7 @@
     log("run-ended", {{"run", describe(Name)},
                       {"end", std::string(toString(Result))},
                       {"endpoint", m_EndpointIncarnation.m_Id}});
-  markReportsDue();
+  markReportsDue(nullptr);
   if (Ended.m_Owner)
     reportRunEnd(*Ended.m_Owner,
                  TaskEnded{Name, Result, Reason, m_Now - Ended.m_StartedAt,
--- a/tests/unit/AgentLinksTest.cpp
+++ b/tests/unit/AgentLinksTest.cpp
@@ -38,7 +38,8 @@
   const auto Closed = commands<CloseLink>();
   BOOST_REQUIRE_EQUAL(Closed.size(), 1U);
   BOOST_TEST(Closed[0].m_Reason ==
-             "entry entry-z has protocol version 9, this agent has 1");
+             "entry entry-z has protocol version 9, this agent has " +
+                 std::to_string(ProtocolVersion));
 }
 
 // Guards against a running task that is started twice, or whose result is lost,
--- a/tests/unit/EntryAgentsTest.cpp
+++ b/tests/unit/EntryAgentsTest.cpp
@@ -28,7 +28,8 @@
   const auto Closed = m_Entry.take<CloseLink>();
   BOOST_REQUIRE(Closed.size() == 1U);
   BOOST_TEST(Closed[0].m_Reason.find('9') != std::string::npos);
-  BOOST_TEST(Closed[0].m_Reason.find('1') != std::string::npos);
+  BOOST_TEST(Closed[0].m_Reason.find(std::to_string(ProtocolVersion)) !=
+             std::string::npos);
   BOOST_TEST(m_Entry.status().m_Agents == 0U);
 }
 
--- a/tests/unit/EntryDaemonTest.cpp
+++ b/tests/unit/EntryDaemonTest.cpp
@@ -287,7 +287,7 @@
     LinkClient Client(Io, loopbackAddress(First->linkPort()),
                       {[&](LinkId Link) {
                          AgentHello Other;
-                         Other.m_Protocol = 2;
+                         Other.m_Protocol = ProtocolVersion + 1;
                          if (Hello)
                            Client.send(Link, {Other});
                          else
@@ -300,10 +300,12 @@
       Io.restart();
       Io.run_one_for(milliseconds(10));
     }
-    BOOST_TEST(Reason == (Hello ? "message 0 (AgentHello), protocol: version 2 "
-                                  "is not supported; this process speaks "
-                                  "version 1"
-                                : "expected a hello, found Ping"));
+    const std::string Refusal =
+        "message 0 (AgentHello), protocol: version " +
+        std::to_string(ProtocolVersion + 1) +
+        " is not supported; this process speaks version " +
+        std::to_string(ProtocolVersion);
+    BOOST_TEST(Reason == (Hello ? Refusal : "expected a hello, found Ping"));
   }
 }
 
--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -46,6 +46,19 @@
   BOOST_TEST(core().status().m_ActiveEndpoints == 1U);
 }
 
+// Guards against load reports that overload an entry when the fleet grows.
+BOOST_AUTO_TEST_CASE(TheReportIntervalGrowsWithTheNumberOfAgents) {
+  const auto LastInterval = [this](std::uint64_t Agents) {
+    for (std::uint64_t Agent = 1; Agent <= Agents; ++Agent)
+      connectAgent(Agent);
+    clearCommands();
+    feed(MessageReceived{LinkId{1}, Ping{1}});
+    return messagesTo<EntryLease>(1).at(0).m_ReportInterval;
+  };
+  BOOST_TEST((LastInterval(10) == 10ms));
+  BOOST_TEST((LastInterval(200) == 200ms));
+}
+
 // Guards against an endpoint that attracts tasks because it fails every run and
 // so is always free.
 BOOST_AUTO_TEST_CASE(AnEndpointThatFailsItsRunsIsEjected) {
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -42,7 +42,7 @@
                         Duration(61000), Load};
   return {
       Hello,
-      EntryHello{1, "entry-1", Incarnation(7), 12, 3},
+      EntryHello{ProtocolVersion, "entry-1", Incarnation(7), 12, 3},
       Task,
       TaskResult{9, Outcome::Unknown, 599, Duration(250000), 8,
                  makePayload(std::string(300, '\xfe'))},
@@ -58,7 +58,7 @@
       ConfigTransfer{5, 99, "peak", std::string(70000, 'd')},
       QuotaReport{{{"team-a", 100}, {"team-b", 0}}},
       Goodbye{"drained"},
-      RunnerHello{1,
+      RunnerHello{ProtocolVersion,
                   "agent-2",
                   Incarnation(Large),
                   Incarnation(8),
@@ -77,7 +77,7 @@
       Ended,
       StopJob{JobId{Large}},
       StopRun{Run},
-      EntryLease{TimePoint(Duration(9))},
+      EntryLease{TimePoint(Duration(9)), Duration(80000)},
       ConfigHeld{7},
       ConfigRequest{}};
 }
@@ -163,7 +163,8 @@
 BOOST_AUTO_TEST_CASE(UnsupportedVersionErrorNamesBothVersions) {
   BOOST_TEST(faultOf(cborOf({{1, 7, "entry", "unknown"}})) ==
              "decode frame: message 0 (EntryHello), protocol: version 7 is not "
-             "supported; this process speaks version 1");
+             "supported; this process speaks version " +
+                 std::to_string(ProtocolVersion));
 }
 
 // Guards against crashes and silent acceptance of structures that no message
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -308,6 +308,40 @@
   BOOST_TEST(commands<CallStop>().size() == 1U);
 }
 
+// Guards against a fleet in which every agent reports each change of its load
+// to every entry, so that the reports take most of an entry's processor time.
+BOOST_AUTO_TEST_CASE(LoadReportsKeepTheIntervalThatTheEntrySets) {
+  constexpr LinkId Other{8};
+  feed(RunnerLinkOpened{Other, "127.0.0.2:80"});
+  EntryHello Hello;
+  Hello.m_Incarnation = Incarnation{71};
+  Hello.m_SentAt = now();
+  feed(MessageReceived{Other, Hello});
+  feed(MessageReceived{Other, EntryLease{now(), 100ms}});
+  clearCommands();
+  for (std::uint32_t Index = 0; Index < 200; ++Index) {
+    startTask(runNamed(Index));
+    answerStart(runNamed(Index));
+    runFor(4ms);
+    answerHold({}, {{Index + 1, runNamed(Index), RunEnd::Done}});
+  }
+  std::size_t ToOther = 0;
+  for (const SendMessage &Each : commands<SendMessage>())
+    ToOther += Each.m_Link == Other ? 1 : 0;
+  BOOST_TEST(ToOther >= 9U);
+  BOOST_TEST(ToOther <= 11U);
+}
+
+// Guards against an entry that suspects a healthy agent: it has sent a start
+// and is not told of it, because it asked for few reports.
+BOOST_AUTO_TEST_CASE(AStartIsConfirmedSoonWhateverTheReportInterval) {
+  feed(MessageReceived{Link, EntryLease{now(), 400ms}});
+  clearCommands();
+  startTask(runNamed(0));
+  runFor(20ms);
+  BOOST_TEST(messages<LoadReport>().size() == 1U);
+}
+
 // Guards against abandoning a run although only its connection was lost.
 BOOST_AUTO_TEST_CASE(TheHelloOnANewLinkListsHeldAndEndedRuns) {
   startAndAnswer(runNamed(0));
