--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -104,6 +104,7 @@
   void onMessage(RunnerIndex Index, const LoadReport &Report);
   void onMessage(RunnerIndex Index, const TaskEnded &Ended);
   void onMessage(RunnerIndex Index, const Goodbye &Message);
+  void onMessage(RunnerIndex Index, const Ping &Message);
   /// Handles any message that run agents don't send to entries.
   template <class T> void onMessage(RunnerIndex Index, const T &) {
     dropRunner(Index, "message of a type that run agents don't send");
@@ -132,6 +133,7 @@
   void assess(RunnerRow &Row);
   void stopStalled(RunnerIndex Index, const RunName &Name, OwnRun &Run);
   void extendLease(RunnerRow &Row);
+  Duration reportInterval() const;
   void send(RunnerRow &Row, LinkMessage Message);
 
   JobCoreOptions m_Options;
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -8,9 +8,11 @@
 namespace cyclamencroft {
 namespace {
 
-/// Minimum time between two load reports to one entry: limits the message rate
-/// of a busy endpoint, and is short compared with tasks of 60 ms.
-constexpr Duration ReportInterval = std::chrono::milliseconds(10);
+/// Bounds of the time between two load reports to one entry, which the entry
+/// sets. The lower one limits the message rate of a busy endpoint; the upper
+/// one keeps an entry from acting on a load that was reported seconds ago.
+constexpr Duration MinReportInterval = std::chrono::milliseconds(10);
+constexpr Duration MaxReportInterval = std::chrono::milliseconds(500);
 
 /// Reported run ends are kept this long, to be repeated on a new connection.
 /// Longer than any job's deadline for which a lost end still matters.
@@ -30,10 +32,9 @@
   Link.m_Address = Event.m_Address;
   Link.m_Link = Event.m_Link;
   Link.m_HelloReceived = false;
+  Link.m_DelayMeasured = false;
   Link.m_LastMessageAt = m_Now;
   Link.m_StartsReceived = 0;
-  // The minimum delay may differ on a new connection.
-  Link.m_Delay = DelayEstimate{};
   sendHello(Link);
 }
 
@@ -54,6 +55,7 @@
   Hello.m_Endpoint = m_View;
   Hello.m_Endpoint.m_State = offeredState();
   Hello.m_Load = load(Link);
+  Link.m_RequestSentAt = m_Now;
   send(Link, std::move(Hello));
 }
 
@@ -89,6 +91,7 @@
   Link.m_HelloReceived = true;
   Link.m_EntryId = Hello.m_EntryId;
   Link.m_Entry = Hello.m_Incarnation;
+  measureRoundTrip(Link);
   extendLease(Link, Hello.m_SentAt);
   log("entry-link-open",
       {{"entry", Hello.m_EntryId}, {"address", Link.m_Address}});
@@ -117,6 +120,8 @@
 
 void RunnerCore::Impl::onMessage(EntryLink &Link, const EntryLease &Message) {
   extendLease(Link, Message.m_SentAt);
+  Link.m_ReportInterval = std::clamp(Message.m_ReportInterval,
+                                     MinReportInterval, MaxReportInterval);
   reportLoad(Link);
 }
 
@@ -126,7 +131,33 @@
   dropLink(Link, "goodbye");
 }
 
+/// The answer may have been delayed in transit for as long as the round trip
+/// took. If that is too long, the round trip is measured again.
+void RunnerCore::Impl::measureRoundTrip(EntryLink &Link) {
+  const Duration RoundTrip = m_Now - Link.m_RequestSentAt;
+  // The minimum delay may differ on a new connection.
+  Link.m_Delay = DelayEstimate{};
+  Link.m_DelayMeasured =
+      RoundTrip <= maxUnmeasuredDelay(m_Options.m_EndpointLease);
+  if (Link.m_DelayMeasured)
+    return;
+  log("entry-answer-late",
+      {{"entry", Link.m_EntryId},
+       {"round-trip-us", std::to_string(RoundTrip.count())}});
+  Link.m_RequestSentAt = m_Now;
+  send(Link, Ping{++Link.m_LastPing});
+}
+
+/// The entry sends a lease after each pong, which becomes the first message
+/// that the delays of the link are measured against.
+void RunnerCore::Impl::onMessage(EntryLink &Link, const Pong &Message) {
+  if (Message.m_Number == Link.m_LastPing)
+    measureRoundTrip(Link);
+}
+
 Duration RunnerCore::Impl::extendLease(EntryLink &Link, TimePoint SentAt) {
+  if (!Link.m_DelayMeasured)
+    return Duration::max();
   const Duration Delay = Link.m_Delay.excessDelay(m_Now, SentAt);
   Link.m_LeaseExpiresAt =
       std::max(Link.m_LeaseExpiresAt, m_Now - Delay + EntryLeaseTime);
@@ -154,18 +185,27 @@
     return;
   send(Owner, End);
   Owner.m_ReportDueAt = TimePoint::max();
+  Owner.m_LoadSentAt = m_Now;
 }
 
 void RunnerCore::Impl::reportLoad(EntryLink &Link) {
   Link.m_ReportDueAt = TimePoint::max();
+  Link.m_LoadSentAt = m_Now;
   if (Link.m_HelloReceived)
     send(Link, LoadReport{load(Link)});
 }
 
-void RunnerCore::Impl::markReportsDue() {
-  for (auto &[Address, Link] : m_Links)
-    if (Link.m_HelloReceived)
-      Link.m_ReportDueAt = std::min(Link.m_ReportDueAt, m_Now + ReportInterval);
+void RunnerCore::Impl::markReportsDue(const EntryLink *StartedBy) {
+  const TimePoint Soonest = m_Now + MinReportInterval;
+  for (auto &[Address, Link] : m_Links) {
+    if (!Link.m_HelloReceived)
+      continue;
+    const TimePoint Due =
+        &Link == StartedBy
+            ? Soonest
+            : std::max(Soonest, Link.m_LoadSentAt + Link.m_ReportInterval);
+    Link.m_ReportDueAt = std::min(Link.m_ReportDueAt, Due);
+  }
 }
 
 void RunnerCore::Impl::reportEndpoint() {
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -1,4 +1,5 @@
 // State changes of a run at the agent, from its start request to its end.
+#include "runs/LeaseTimes.h"
 #include "runs/RunnerCoreImpl.h"
 
 #include <algorithm>
@@ -7,10 +8,6 @@
 namespace cyclamencroft {
 namespace {
 
-/// A start request with a longer delay in transit is refused, because the entry
-/// may have abandoned the task. Well below the entry's lease.
-constexpr Duration MaxStartDelay = std::chrono::milliseconds(300);
-
 /// Maximum time in the queue before a run is refused: at a busy endpoint,
 /// several other runs end within this time.
 constexpr Duration MaxWait = std::chrono::milliseconds(20);
@@ -93,7 +90,7 @@
   Added.m_LatestStart = m_Now + Message.m_StartWithin;
   Added.m_WaitExpiresAt = m_Now + MaxWait;
   m_Waiting.add(std::move(Added), m_Now);
-  markReportsDue();
+  markReportsDue(&Link);
 }
 
 void RunnerCore::Impl::startWaiting() {
@@ -143,11 +140,21 @@
   if (Found == m_Runs.end())
     return;
   Run &Answered = Found->second;
+  const bool Started = Event.m_Fault == CallFault::None &&
+                       Event.m_Result == StartResult::Started;
+  // The answer to the second call doesn't tell whether the first one has
+  // started the run or may still do so. After a stop, the lists do.
+  if (Event.m_Resent && !Started && Event.m_Fault != CallFault::Refused)
+    return stop(Event.m_Run, Answered, "start-sent-twice");
   switch (Event.m_Fault) {
   case CallFault::None:
     break;
   case CallFault::Refused:
     return markEndpointLost("start-refused");
+  case CallFault::NotSent:
+    ++m_Counters.m_UnansweredCalls;
+    m_Meter.runFailed(m_Now);
+    return endAsNotStarted(Event.m_Run, StartRefusal::Unhealthy);
   case CallFault::NoAnswer:
     ++m_Counters.m_UnansweredCalls;
     if (Answered.m_StartConfirmed)
@@ -285,7 +292,7 @@
     log("run-ended", {{"run", describe(Name)},
                       {"end", std::string(toString(Result))},
                       {"endpoint", m_EndpointIncarnation.m_Id}});
-  markReportsDue();
+  markReportsDue(nullptr);
   if (Ended.m_Owner)
     reportRunEnd(*Ended.m_Owner,
                  TaskEnded{Name, Result, Reason, m_Now - Ended.m_StartedAt,
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -135,6 +135,36 @@
   BOOST_TEST((onlyEnd().m_End == RunEnd::NotStarted));
 }
 
+// Guards against reporting a run as not started, so that its task runs again,
+// when the endpoint executed the call, the connection was reset before the
+// answer, and the run had ended when the call was sent again.
+BOOST_AUTO_TEST_CASE(ARejectionOfACallThatWasSentTwiceIsNoProof) {
+  for (const StartResult Result :
+       {StartResult::Superseded, StartResult::NoCapacity, StartResult::Late}) {
+    const RunName Run = runNamed(static_cast<std::uint32_t>(Result));
+    startTask(Run);
+    feed(StartAnswered{Run, CallFault::None, Result, 50000, true});
+    BOOST_TEST(messages<TaskEnded>().empty());
+    BOOST_REQUIRE(!commands<CallStop>().empty());
+    BOOST_TEST((commands<CallStop>().back().m_Run == Run));
+    feed(StopAnswered{Run, CallFault::None, false, 50000});
+    answerHold({});
+    answerHold({}, {{1 + std::uint64_t(Result), Run, RunEnd::Done}});
+    BOOST_TEST((onlyEnd().m_End == RunEnd::Done));
+    clearCommands();
+  }
+}
+
+// Guards against stopping, and counting as doubtful, a run whose start call
+// never left the host.
+BOOST_AUTO_TEST_CASE(AStartThatWasNotSentEndsAtOnce) {
+  startTask(runNamed(0));
+  feed(
+      StartAnswered{runNamed(0), CallFault::NotSent, StartResult::Started, {}});
+  BOOST_TEST((onlyEnd().m_End == RunEnd::NotStarted));
+  BOOST_TEST(commands<CallStop>().empty());
+}
+
 // Guards against hundreds of connections per second to an endpoint that resets
 // each one.
 BOOST_AUTO_TEST_CASE(AnUnansweredStopIsRepeatedWithBackoff) {
@@ -231,6 +261,36 @@
   BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
 }
 
+// Guards against a second run of a task: a partition held up the first messages
+// of a new link until the entry had started the task elsewhere. Measured
+// against each other, these messages are not late.
+BOOST_AUTO_TEST_CASE(AStartBehindADelayedHelloIsRefused) {
+  feed(LinkClosed{Link});
+  feed(RunnerLinkOpened{LinkId{8}, "127.0.0.1:80"});
+  const TimePoint SentAt = now();
+  advance(2s);
+  clearCommands();
+  EntryHello Hello;
+  Hello.m_Incarnation = Entry;
+  Hello.m_SentAt = SentAt;
+  feed(MessageReceived{LinkId{8}, Hello});
+  feed(MessageReceived{
+      LinkId{8},
+      StartTask{runNamed(0), {1000, 1, 0}, SentAt + 50ms, {}, {}, nullptr}});
+  BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
+  // A quick answer to a ping makes the link usable.
+  const auto Pings = messages<Ping>();
+  BOOST_REQUIRE(Pings.size() == 1);
+  clearCommands();
+  advance(5ms);
+  feed(MessageReceived{LinkId{8}, Pong{Pings[0].m_Number}});
+  sendLease(LinkId{8});
+  feed(MessageReceived{
+      LinkId{8},
+      StartTask{runNamed(0, 2), {1000, 1, 0}, now(), {}, {}, nullptr}});
+  BOOST_TEST(commands<CallStart>().size() == 1U);
+}
+
 // Guards against two runs of one task at an agent when a caller's second entry
 // starts a task that is still running for the first one.
 BOOST_AUTO_TEST_CASE(ATaskThatIsRunningIsNotStartedAgain) {
@@ -248,6 +308,40 @@
   BOOST_TEST(commands<CallStop>().size() == 1U);
 }
 
+// Guards against a fleet in which every agent reports each change of its load
+// to every entry, so that the reports take most of an entry's processor time.
+BOOST_AUTO_TEST_CASE(LoadReportsKeepTheIntervalThatTheEntrySets) {
+  constexpr LinkId Other{8};
+  feed(RunnerLinkOpened{Other, "127.0.0.2:80"});
+  EntryHello Hello;
+  Hello.m_Incarnation = Incarnation{71};
+  Hello.m_SentAt = now();
+  feed(MessageReceived{Other, Hello});
+  feed(MessageReceived{Other, EntryLease{now(), 100ms}});
+  clearCommands();
+  for (std::uint32_t Index = 0; Index < 200; ++Index) {
+    startTask(runNamed(Index));
+    answerStart(runNamed(Index));
+    runFor(4ms);
+    answerHold({}, {{Index + 1, runNamed(Index), RunEnd::Done}});
+  }
+  std::size_t ToOther = 0;
+  for (const SendMessage &Each : commands<SendMessage>())
+    ToOther += Each.m_Link == Other ? 1 : 0;
+  BOOST_TEST(ToOther >= 9U);
+  BOOST_TEST(ToOther <= 11U);
+}
+
+// Guards against an entry that suspects a healthy agent: it has sent a start
+// and is not told of it, because it asked for few reports.
+BOOST_AUTO_TEST_CASE(AStartIsConfirmedSoonWhateverTheReportInterval) {
+  feed(MessageReceived{Link, EntryLease{now(), 400ms}});
+  clearCommands();
+  startTask(runNamed(0));
+  runFor(20ms);
+  BOOST_TEST(messages<LoadReport>().size() == 1U);
+}
+
 // Guards against abandoning a run although only its connection was lost.
 BOOST_AUTO_TEST_CASE(TheHelloOnANewLinkListsHeldAndEndedRuns) {
   startAndAnswer(runNamed(0));
