--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -33,7 +33,7 @@
 constexpr Duration StopTime = std::chrono::milliseconds(60);
 
 /// Load reports that an entry takes per second from all agents together.
-constexpr Duration::rep MaxReportsPerSecond = 1000;
+constexpr Duration::rep MaxReportsPerSecond = 600;
 
 Duration scaled(Duration Time, double Factor) {
   return Duration(
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -8,9 +8,10 @@
 namespace cyclamencroft {
 namespace {
 
-/// Maximum time in the queue before a run is refused: at a busy endpoint,
-/// several other runs end within this time.
-constexpr Duration MaxWait = std::chrono::milliseconds(20);
+/// Maximum time in the queue before a run is refused. It lets a run wait for one
+/// that is just ending; for longer waits its entry has the better order, and may
+/// know another endpoint with capacity.
+constexpr Duration MaxWait = std::chrono::milliseconds(5);
 
 /// The queue may hold 1 / QueueCapacityDivisor of the endpoint's capacity,
 /// which is what becomes free within a few round trips.
