--- /dev/null
+++ b/tests/unit/ModelEndpoint.h
@@ -0,0 +1,44 @@
+// Endpoint of the fleet model: executes runs for their true run times and
+// answers the calls of its agent.
+#pragma once
+
+#include "runs/RunEvents.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cyclamencroft {
+
+class ModelEndpoint {
+public:
+  explicit ModelEndpoint(std::uint32_t Cores) : m_Cores(Cores) {}
+
+  EndpointHeartbeat heartbeat(TimePoint Now);
+
+  void start(const CallStart &Call, TimePoint EndsAt);
+  void stop(const CallStop &Call);
+  /// Answered by takeHoldAnswer() when a run ends or the wait is over.
+  void hold(const CallHold &Call, TimePoint Now);
+
+  /// Ends the runs whose time has come and returns the answer to the pending
+  /// hold call if it is due.
+  std::optional<HoldAnswered> takeHoldAnswer(TimePoint Now);
+
+  static EndpointMs clock(TimePoint Now) {
+    return Now.time_since_epoch() / std::chrono::milliseconds(1);
+  }
+
+private:
+  void end(const RunName &Run, RunEnd End);
+
+  const std::uint32_t m_Cores;
+  std::uint64_t m_Heartbeats = 0;
+  std::map<RunName, TimePoint> m_Running;
+  std::vector<EndedRun> m_Ended;
+  std::uint64_t m_LastEnd = 0;
+  std::optional<CallHold> m_Hold;
+  TimePoint m_HoldExpiresAt{};
+};
+
+} // namespace cyclamencroft
