--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -44,7 +44,7 @@
     JobHarness Harness;
     Harness.connectAgent(1);
     Harness.connectAgent(2);
-    Harness.feed(Harness.offer(1, 8, 1500ms));
+    Harness.feed(Harness.offer(1, 8, 4s));
     BOOST_REQUIRE(!Harness.runsAt(1).empty());
     for (Duration Passed{}; Passed < Silence; Passed += 50ms) {
       Harness.runFor(50ms);
@@ -58,7 +58,12 @@
       Hello.m_Held = Harness.runsAt(1);
       Harness.feed(RunnerConnected{LinkId{1}, Hello});
     }
-    Harness.reportLoad(1);
+    // Past the time at which all leases would have expired.
+    for (Duration Passed{}; Passed < 2s; Passed += 50ms) {
+      Harness.reportLoad(1);
+      Harness.reportLoad(2);
+      Harness.runFor(50ms);
+    }
     BOOST_TEST(Harness.allRuns().size() == 8U);
     BOOST_TEST(Harness.answers().empty());
     Harness.endAll();
