Repeat an unanswered start instead of stopping its run at once

The stop was lost as often and repeated, the capacity stayed reserved until a list showed that the run was gone, and the task began anew at an endpoint that lost answers as well.

Change: the call is repeated, up to three times; the endpoint executes a run once however often it is started, and after a rejection of a repeated call the run is stopped and the lists decide, as for calls that were sent twice. The timeout of a start is 30 ms; that of a stop stays 50 ms.

Tests that fail without it: AnUnansweredStartIsRepeatedAtTheSameEndpoint, ARejectionAfterAnUnansweredStartIsNoProof. Two tests of unanswered starts now leave the repetitions unanswered as well; what they check is unchanged.

--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -32,10 +32,12 @@
 
 namespace asio = boost::asio;
 
-/// Timeout of calls that start or stop a run. The endpoint is on the same
+/// Timeouts of calls that start or stop a run. The endpoint is on the same
 /// network segment and answers within a few ms; a call without an answer keeps
-/// resources reserved that other runs could use.
-constexpr Duration StartStopTimeout = std::chrono::milliseconds(50);
+/// resources reserved that other runs could use. Start calls are repeated, so a
+/// timeout that is too short costs a connection and no work.
+constexpr Duration StartTimeout = std::chrono::milliseconds(30);
+constexpr Duration StopTimeout = std::chrono::milliseconds(50);
 
 /// Concurrent calls that start or stop a run. Calls that hold runs use a
 /// connection of their own.
@@ -176,7 +178,7 @@
   }
   void carryOut(const CallStart &Command) {
     HttpCall Call = platform::encodeStart(Command);
-    Call.m_Timeout = StartStopTimeout;
+    Call.m_Timeout = StartTimeout;
     const TimePoint SentAt = RuntimeClock::now();
     m_StartStopPool.call(std::move(Call), [this, SentAt, Run = Command.m_Run](
                                               const HttpOutcome &Outcome) {
@@ -186,7 +188,7 @@
   }
   void carryOut(const CallStop &Command) {
     HttpCall Call = platform::encodeStop(Command);
-    Call.m_Timeout = StartStopTimeout;
+    Call.m_Timeout = StopTimeout;
     m_StartStopPool.call(std::move(Call), [this, Run = Command.m_Run](
                                               const HttpOutcome &Outcome) {
       m_Loop.feed(platform::readStop(Run, Outcome));
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -43,6 +43,8 @@
     Size m_Need;
     Duration m_Estimate{};
     Payload m_Specification;
+    /// Start calls that were not answered; each may still take effect.
+    int m_UnansweredStarts = 0;
     /// The endpoint has confirmed that the run was started.
     bool m_StartConfirmed = false;
     TimePoint m_StartedAt{};
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -8,15 +8,19 @@
 namespace cyclamencroft {
 namespace {
 
-/// Maximum time in the queue before a run is refused. It lets a run wait for one
-/// that is just ending; for longer waits its entry has the better order, and may
-/// know another endpoint with capacity.
+/// Maximum time in the queue before a run is refused. It lets a run wait for
+/// one that is just ending; for longer waits its entry has the better order,
+/// and may know another endpoint with capacity.
 constexpr Duration MaxWait = std::chrono::milliseconds(5);
 
 /// The queue may hold 1 / QueueCapacityDivisor of the endpoint's capacity,
 /// which is what becomes free within a few round trips.
 constexpr std::uint32_t QueueCapacityDivisor = 3;
 
+/// Unanswered start calls after which a run is stopped. Until then the call is
+/// repeated: the endpoint executes a run once however often it is started.
+constexpr int MaxUnansweredStarts = 4;
+
 /// Exponential backoff for repeated stop calls: the delay starts at
 /// InitialStopBackoff and doubles up to MaxStopBackoff. An endpoint that resets
 /// its connections does so for seconds.
@@ -143,9 +147,12 @@
   Run &Answered = Found->second;
   const bool Started = Event.m_Fault == CallFault::None &&
                        Event.m_Result == StartResult::Started;
-  // The answer to the second call doesn't tell whether the first one has
-  // started the run or may still do so. After a stop, the lists do.
-  if (Event.m_Resent && !Started && Event.m_Fault != CallFault::Refused)
+  const bool NoAnswer = Event.m_Fault == CallFault::NoAnswer;
+  const bool SentBefore = Event.m_Resent || Answered.m_UnansweredStarts > 0;
+  // A rejection doesn't tell whether an earlier call has started the run or may
+  // still do so. After a stop, the lists do.
+  if (SentBefore && !Started && !NoAnswer &&
+      Event.m_Fault != CallFault::Refused)
     return stop(Event.m_Run, Answered, "start-sent-twice");
   switch (Event.m_Fault) {
   case CallFault::None:
@@ -161,6 +168,9 @@
     if (Answered.m_StartConfirmed)
       return;
     m_Meter.runFailed(m_Now);
+    if (++Answered.m_UnansweredStarts < MaxUnansweredStarts &&
+        Answered.m_Phase == Phase::Starting)
+      return callStart(Event.m_Run, Answered);
     return stop(Event.m_Run, Answered, "start-unanswered");
   case CallFault::OtherIncarnation:
     return endAsNotStarted(Event.m_Run, StartRefusal::NoEndpoint);
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -21,6 +21,12 @@
     answerStart(Run);
   }
 
+  /// Leaves the start call and its repetitions without an answer.
+  void leaveStartUnanswered(const RunName &Run) {
+    while (commands<CallStop>().empty())
+      feed(StartAnswered{Run, CallFault::NoAnswer, StartResult::Started, {}});
+  }
+
   TaskEnded onlyEnd() const {
     const auto Ends = messages<TaskEnded>();
     BOOST_REQUIRE(Ends.size() == 1);
@@ -119,8 +125,7 @@
 // not answered, may still take effect.
 BOOST_AUTO_TEST_CASE(AnUnansweredStartIsReportedOnlyAfterItsStopWasAnswered) {
   startTask(runNamed(0));
-  feed(StartAnswered{
-      runNamed(0), CallFault::NoAnswer, StartResult::Started, {}});
+  leaveStartUnanswered(runNamed(0));
   BOOST_TEST(commands<CallStop>().size() == 1U);
   BOOST_TEST(messages<TaskEnded>().empty());
   feed(StopAnswered{runNamed(0), CallFault::NoAnswer, false, {}});
@@ -155,6 +160,48 @@
   }
 }
 
+// Guards against seconds in which an endpoint that loses answers does hardly
+// any work: each lost answer cost a stop, a look at the lists and a new choice.
+BOOST_AUTO_TEST_CASE(AnUnansweredStartIsRepeatedAtTheSameEndpoint) {
+  startTask(runNamed(0));
+  feed(StartAnswered{
+      runNamed(0), CallFault::NoAnswer, StartResult::Started, {}});
+  BOOST_TEST(commands<CallStop>().empty());
+  const auto Starts = commands<CallStart>();
+  BOOST_REQUIRE(Starts.size() == 2);
+  BOOST_TEST((Starts[1].m_Run == runNamed(0)));
+  answerStart(runNamed(0));
+  answerHold({runNamed(0)});
+  answerHold({}, {{1, runNamed(0), RunEnd::Done}});
+  BOOST_TEST((onlyEnd().m_End == RunEnd::Done));
+}
+
+// Guards against reporting a run as not started when an unanswered call has
+// started it and the repeated one is rejected, and against repeating the start
+// of a run that was stopped meanwhile.
+BOOST_AUTO_TEST_CASE(ARejectionAfterAnUnansweredStartIsNoProof) {
+  for (const StartResult Result :
+       {StartResult::Superseded, StartResult::NoCapacity}) {
+    const RunName Run = runNamed(static_cast<std::uint32_t>(Result));
+    startTask(Run);
+    feed(StartAnswered{Run, CallFault::NoAnswer, StartResult::Started, {}});
+    answerStart(Run, Result);
+    BOOST_TEST(messages<TaskEnded>().empty());
+    BOOST_TEST(commands<CallStop>().size() == 1U);
+    feed(StopAnswered{Run, CallFault::None, false, 50000});
+    answerHold({});
+    answerHold({}, {{1 + std::uint64_t(Result), Run, RunEnd::Done}});
+    BOOST_TEST((onlyEnd().m_End == RunEnd::Done));
+    clearCommands();
+  }
+  const RunName Stopped = runNamed(9);
+  startTask(Stopped);
+  feed(MessageReceived{Link, StopRun{Stopped}});
+  clearCommands();
+  feed(StartAnswered{Stopped, CallFault::NoAnswer, StartResult::Started, {}});
+  BOOST_TEST(commands<CallStart>().empty());
+}
+
 // Guards against stopping, and counting as doubtful, a run whose start call
 // never left the host.
 BOOST_AUTO_TEST_CASE(AStartThatWasNotSentEndsAtOnce) {
@@ -169,8 +216,7 @@
 // each one.
 BOOST_AUTO_TEST_CASE(AnUnansweredStopIsRepeatedWithBackoff) {
   startTask(runNamed(0));
-  feed(StartAnswered{
-      runNamed(0), CallFault::NoAnswer, StartResult::Started, {}});
+  leaveStartUnanswered(runNamed(0));
   std::size_t Answered = 0;
   for (const TimePoint End = now() + 1s; now() < End; advance(1ms)) {
     feed(Tick{});
