One limit for the tasks of a job, one function for logged milliseconds, names of timeouts

MaxJobTasks and MaxTasksPerJob were the same limit, and the scheduler had two copies of a function. Four timeouts end in Timeout now. The comment of m_Late says when a job is late. No change of behaviour; unit tests pass.

--- a/src/entry/EntryAdmission.cpp
+++ b/src/entry/EntryAdmission.cpp
@@ -19,8 +19,8 @@
   case RefusalReason::QuotaExceeded:
     return "the quota of team " + New.m_Team + " is used up";
   case RefusalReason::SizeFitsNoEndpoint:
-    if (New.m_Tasks == 0 || New.m_Tasks > MaxJobTasks)
-      return "a job has 1 to " + std::to_string(MaxJobTasks) + " tasks";
+    if (New.m_Tasks == 0 || New.m_Tasks > MaxTasksPerJob)
+      return "a job has 1 to " + std::to_string(MaxTasksPerJob) + " tasks";
     return "no connected endpoint of the service has the declared size";
   case RefusalReason::RepeatedKey:
     return "the key or request id is in use or was used a short time ago";
@@ -98,7 +98,7 @@
 
 RefusalReason EntryCore::Impl::checkFit(const Service &To,
                                         const Arrival &New) const {
-  if (New.m_Tasks == 0 || New.m_Tasks > MaxJobTasks)
+  if (New.m_Tasks == 0 || New.m_Tasks > MaxTasksPerJob)
     return RefusalReason::SizeFitsNoEndpoint;
   if (m_Router.fitsAny(To.m_Name, New.m_Need))
     return RefusalReason::None;
--- a/src/entry/EntryLiveness.cpp
+++ b/src/entry/EntryLiveness.cpp
@@ -13,13 +13,13 @@
 
 /// Time without a message from an agent with outstanding tasks until it is
 /// pinged, and from the ping until the agent is suspected.
-constexpr Duration PingAfter = std::chrono::seconds(1);
-constexpr Duration SuspectAfter = std::chrono::milliseconds(500);
+constexpr Duration PingIdleTimeout = std::chrono::seconds(1);
+constexpr Duration SuspectTimeout = std::chrono::milliseconds(500);
 
 /// Time until the link of a suspected agent is closed. The remote end of a
 /// partitioned network sends no close, and outcomes must not stay open until
 /// the deadline.
-constexpr Duration CloseSuspectedAfter = std::chrono::seconds(10);
+constexpr Duration CloseSuspectedTimeout = std::chrono::seconds(10);
 
 /// Disconnected agents keep their sequence numbers in case the same incarnation
 /// reconnects. Covers 11 days at 360 restarts and replacements a day.
@@ -91,7 +91,7 @@
     return;
   Row.m_Liveness = LivenessState::Monitored;
   Row.m_LivenessTimer =
-      m_Timers.add(m_Now + PingAfter, TimerKind::LivenessCheck, Index);
+      m_Timers.add(m_Now + PingIdleTimeout, TimerKind::LivenessCheck, Index);
 }
 
 void EntryCore::Impl::checkLiveness(AgentRowIndex Index) {
@@ -107,7 +107,7 @@
         {{"agent", Row.m_Id},
          {"outstanding", std::to_string(Row.m_Ledger.outstanding())}});
     refreshAvailability(Row);
-    Row.m_LivenessTimer = m_Timers.add(m_Now + CloseSuspectedAfter,
+    Row.m_LivenessTimer = m_Timers.add(m_Now + CloseSuspectedTimeout,
                                        TimerKind::LivenessCheck, Index);
     return;
   case LivenessState::Suspected:
@@ -122,7 +122,7 @@
     return;
   }
   const TimePoint Due =
-      std::max(Row.m_LastMessageAt, Row.m_BusySince) + PingAfter;
+      std::max(Row.m_LastMessageAt, Row.m_BusySince) + PingIdleTimeout;
   if (Due > m_Now) {
     Row.m_LivenessTimer = m_Timers.add(Due, TimerKind::LivenessCheck, Index);
     return;
@@ -130,7 +130,7 @@
   Row.m_Liveness = LivenessState::Pinged;
   sendToAgent(Row, Ping{++m_PingNumber});
   Row.m_LivenessTimer =
-      m_Timers.add(m_Now + SuspectAfter, TimerKind::LivenessCheck, Index);
+      m_Timers.add(m_Now + SuspectTimeout, TimerKind::LivenessCheck, Index);
 }
 
 void EntryCore::Impl::agentIdleCheck(AgentRowIndex Index) {
--- a/src/entry/JobQueue.cpp
+++ b/src/entry/JobQueue.cpp
@@ -16,7 +16,7 @@
 
 JobQueue::JobQueue()
     : m_ByArrival(&QueuePosition::m_Arrival),
-      m_BySize(MaxJobTasks + 1, SubmissionList(&QueuePosition::m_BySize)) {}
+      m_BySize(MaxTasksPerJob + 1, SubmissionList(&QueuePosition::m_BySize)) {}
 
 SubmissionIndex JobQueue::front() const {
   if (m_Turn % OldestJobInterval == OldestJobInterval - 1)
--- a/src/entry/JobQueue.h
+++ b/src/entry/JobQueue.h
@@ -4,6 +4,7 @@
 // long one.
 #pragma once
 
+#include "entry/JobRequest.h"
 #include "entry/SubmissionList.h"
 
 #include <array>
@@ -12,9 +13,6 @@
 
 namespace cyclamencroft {
 
-/// Maximum number of tasks in one job.
-constexpr std::uint32_t MaxJobTasks = 200;
-
 class JobQueue {
 public:
   JobQueue();
@@ -38,7 +36,7 @@
 
 private:
   static constexpr std::uint32_t WordBits = 64;
-  static constexpr std::uint32_t Words = MaxJobTasks / WordBits + 1;
+  static constexpr std::uint32_t Words = MaxTasksPerJob / WordBits + 1;
 
   void addBySize(SubmissionTable &Table, SubmissionIndex Job);
   void removeBySize(SubmissionTable &Table, SubmissionIndex Job);
--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -14,11 +14,6 @@
 /// Retry-After when no better estimate is available.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
-std::string milliseconds(Duration Time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
-}
-
 std::string cores(std::uint64_t MilliCores) {
   return std::to_string(MilliCores / MilliCoresPerCore);
 }
--- a/src/jobs/JobAnswers.cpp
+++ b/src/jobs/JobAnswers.cpp
@@ -11,11 +11,6 @@
 /// job again within a few seconds.
 constexpr Duration FinishedJobRetention = std::chrono::seconds(10);
 
-std::string milliseconds(Duration Time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
-}
-
 } // namespace
 
 void JobCore::Impl::answer(JobIndex Index, JobOutcome Outcome,
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -20,6 +20,12 @@
 
 namespace cyclamencroft {
 
+/// Whole milliseconds, as logged.
+inline std::string milliseconds(Duration Time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
 class JobCore::Impl {
 public:
   explicit Impl(JobCoreOptions Options);
--- a/src/jobs/JobOrder.h
+++ b/src/jobs/JobOrder.h
@@ -28,8 +28,10 @@
 
 /// Sort key of a waiting job; the smallest comes first.
 struct JobOrderKey {
-  /// Jobs that have missed their latest start come after all others: capacity
-  /// spent on them would make jobs late that can still be on time.
+  /// Jobs that are late come after all others: capacity spent on them would
+  /// make jobs late that can still be on time. A job is late from the start,
+  /// when its caller sent it first too long ago, or when its objective has
+  /// passed after it has begun.
   bool m_Late = false;
   /// Latest start, delayed according to the priority of the queue.
   TimePoint m_Rank{};
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -21,7 +21,7 @@
 /// An endpoint that answers no hold call for this long counts as unresponsive.
 /// Long enough to tolerate the loss of single answers, which happens at times,
 /// and shorter than leases of 1 s.
-constexpr Duration UnresponsiveAfter = std::chrono::milliseconds(400);
+constexpr Duration UnresponsiveTimeout = std::chrono::milliseconds(400);
 
 /// Delay after a failed hold call.
 constexpr Duration HoldRetryDelay = std::chrono::milliseconds(50);
@@ -151,7 +151,7 @@
   Call.m_Timeout = Call.m_Wait + HoldAnswerTime;
   m_HoldPending = true;
   // The first hold call after a pause restarts the time limit for an answer.
-  if (m_Now - m_HoldSentAt > UnresponsiveAfter)
+  if (m_Now - m_HoldSentAt > UnresponsiveTimeout)
     m_HoldAnsweredAt = m_Now;
   m_HoldSentAt = m_Now;
   m_Commands->push_back(std::move(Call));
@@ -170,7 +170,7 @@
   case CallFault::NotSent:
   case CallFault::NoAnswer:
     m_NextHoldAt = std::max(m_Now, m_HoldSentAt + HoldInterval);
-    if (m_Now - m_HoldAnsweredAt < UnresponsiveAfter)
+    if (m_Now - m_HoldAnsweredAt < UnresponsiveTimeout)
       return;
     [[fallthrough]];
   case CallFault::Unhealthy:
