--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -254,6 +254,8 @@
   BOOST_TEST((Read(500, "").m_Fault == CallFault::NoAnswer));
   for (const char *Body : {"{}", R"({"reason":7})", R"({"reason":["fence"]})"})
     BOOST_TEST((Read(409, Body).m_Fault == CallFault::Invalid));
+  BOOST_TEST((platform::readStop(Run, answer(409, {{"reason", 7}})).m_Fault ==
+              CallFault::Invalid));
   const StartAnswered Answer = Read(200, R"({"clock_ms":1e300})");
   BOOST_TEST((Answer.m_Fault == CallFault::None));
   BOOST_TEST(!Answer.m_Clock.has_value());
