--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -111,7 +111,7 @@
   }
 
   void fail(std::string Step, std::string Reason) {
-    finish(Error{Step, m_Call.m_Address, std::move(Reason)});
+    finish(Error{std::move(Step), m_Call.m_Address, std::move(Reason)});
   }
 
   void finish(HttpOutcome Outcome) {
