--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -110,6 +110,10 @@
         self.all_runs = runs
         self.server = HttpServer(address, self.handle)
         self.tasks = []
+        self.clock_rate = 1.0
+        # Cleared while the worker's process stands still: what arrives is handled afterwards, in order.
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.reset_state()
 
     def reset_state(self):
@@ -126,7 +130,7 @@
         self.ended_event = asyncio.Event()
 
     def clock(self):
-        return int((time.monotonic() - self.started) * 1000)
+        return int((time.monotonic() - self.started) * 1000 * self.clock_rate)
 
     async def start(self):
         await self.server.start()
@@ -152,6 +156,7 @@
 
     async def send_heartbeats(self):
         while True:
+            await self.awake.wait()
             body = json.dumps(self.heartbeat()).encode()
             try:
                 await call_once(self.agent, "PUT", f"/-/instances/{self.name}", body, timeout=1)
@@ -162,11 +167,13 @@
     async def watch_lease(self):
         while True:
             await asyncio.sleep(0.005)
+            await self.awake.wait()
             if self.running and self.clock() >= self.lease_end:
                 for key in list(self.running):
                     self.finish(key, "lapsed")
 
     async def handle(self, request):
+        await self.awake.wait()
         call = request.json()
         if request.headers.get("cyclamencroft-expected-instance") != self.name:
             return Response(421, {"clock_ms": self.clock()})
@@ -300,7 +307,8 @@
     """`entries` entries and `agents` agents with a worker each. Every agent reaches the entries
     through proxies, and clients reach an entry through one as well."""
 
-    def __init__(self, record, entries=2, agents=3):
+    def __init__(self, record, entries=2, agents=3, clock_rate=1.0):
+        self.clock_rate = clock_rate
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randrange(20, 250)}"
@@ -350,6 +358,7 @@
         fields["seeds"] = [self.address(10 + number, entry, 8166) for entry in range(self.entry_count)]
         self.agents.append(Daemon(self.folder, "agent", f"side-{number + 1}", render(template, fields)))
         worker = Worker(self.record, f"i-{number + 1}", self.address(2, number, 8080), self.address(2, number, 8166), f"zone-{number % 3}", f"r{number}", self.runs)
+        worker.clock_rate = self.clock_rate
         self.workers.append(worker)
         await worker.start()
 
