--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -307,7 +307,8 @@
     """`entries` entries and `agents` agents with a worker each. Every agent reaches the entries
     through proxies, and clients reach an entry through one as well."""
 
-    def __init__(self, record, entries=2, agents=3, clock_rate=1.0):
+    def __init__(self, record, entries=2, agents=3, clock_rate=1.0, first_entries=None):
+        self.first_entries = first_entries
         self.clock_rate = clock_rate
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -329,16 +330,22 @@
         main.append("keyed.op", b"config", json.dumps(self.configuration(1)).encode())
         self.stores.append(main)
         await main.server.start()
-        entry_template = (ROOT / "deploy/entry-settings.toml").read_text()
         agent_template = (ROOT / "deploy/agent-settings.toml").read_text()
         for number in range(self.entry_count):
-            self.entries.append(Daemon(self.folder, "entry", f"frontend-{number + 1}", render(entry_template, self.fields(f"frontend-{number + 1}", 1, number, main.server.address))))
             proxy = Proxy(self.address(4, number, 8161), self.address(1, number, 8161))
             await proxy.start()
             self.client_proxies.append(proxy)
+        for number in range(self.entry_count if self.first_entries is None else self.first_entries):
+            self.start_entry(number)
         for number in range(self.agent_count):
             await self.start_side(number, agent_template, topics)
 
+    def start_entry(self, number):
+        template = (ROOT / "deploy/entry-settings.toml").read_text()
+        name = f"frontend-{number + 1}"
+        fields = self.fields(name, 1, number, self.stores[0].server.address)
+        self.entries.append(Daemon(self.folder, "entry", name, render(template, fields)))
+
     async def start_side(self, number, template, topics):
         for entry in range(self.entry_count):
             proxy = Proxy(self.address(10 + number, entry, 7720), self.address(1, entry, 7720))
@@ -414,7 +421,7 @@
     async def ready(self, timeout=20):
         """Waits until every entry is ready and knows all endpoints."""
         end = time.monotonic() + timeout
-        for number in range(self.entry_count):
+        for number in range(len(self.entries)):
             while True:
                 try:
                     answer = await call_once(self.address(1, number, 8167), "GET", "/-/readiness", timeout=1)
