--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,16 +1,17 @@
-"""A heartbeat of another writer, for a service that no configuration names, reaches an agent."""
+"""A worker that was idle for a while stands still for 1.6 s and then handles what has arrived."""
 import asyncio
-import json
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-from deployment import CONTACT_MS, main, new_job_id, trouble  # noqa: E402
-from net import HttpConnection, call_once  # noqa: E402
-
-CLIENTS = 8
-WORK_MS = 2500
+from deployment import main, new_job_id, trouble  # noqa: E402
+from net import HttpConnection  # noqa: E402
+
+IDLE_S = 45
+STANDSTILL_S = 1.6
+CLOCK_RATE = 0.98
+CLIENTS = 21
+WORK_MS = 3000
 DEADLINE_MS = 9000
 STEPS = [{"count": 1, "cpu": 6200, "mem_mb": 64, "estimated_ms": WORK_MS}]
 
@@ -24,17 +25,15 @@
 
 
 async def case(deployment, record):
-    await asyncio.sleep(CONTACT_MS / 1000)
-    clients = [asyncio.create_task(client(deployment, record, new_job_id())) for _ in range(CLIENTS)]
-    await asyncio.sleep(0.5)
+    record.write(f"the workers are idle for {IDLE_S} s")
+    await asyncio.sleep(IDLE_S)
+    worker = deployment.workers[0]
     if trouble():
-        worker = max(deployment.workers, key=lambda each: len(each.running))
-        beat = worker.heartbeat()
-        worker.sequence -= 1
-        beat.update(service="no-such-service", address=deployment.address(9, 0, 8080), born=int(time.time() * 1000), sequence=1, clock_ms=5)
-        record.write(f"another writer: PUT /-/instances/i-other at the agent of {worker.name}: {json.dumps(beat)}")
-        answer = await call_once(worker.agent, "PUT", "/-/instances/i-other", json.dumps(beat).encode())
-        record.write(f"another writer: is answered {answer.status}")
+        record.write(f"disruption: {worker.name} stands still for {STANDSTILL_S} s")
+        worker.awake.clear()
+    clients = [asyncio.create_task(client(deployment, record, new_job_id())) for _ in range(CLIENTS)]
+    await asyncio.sleep(STANDSTILL_S)
+    worker.awake.set()
     statuses = await asyncio.gather(*clients)
     await asyncio.sleep(1)
     record.write(f"answers: {statuses}")
@@ -45,4 +44,4 @@
     ]
 
 
-main(case, Path(__file__).parent, entries=2, agents=3)
+main(case, Path(__file__).parent, entries=2, agents=7, clock_rate=CLOCK_RATE)
