--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A worker that was idle for a while stands still for 1.6 s and then handles what has arrived."""
+"""A worker that was idle for a while stands still for 1.75 s and then handles what has arrived."""
 import asyncio
 import sys
 from pathlib import Path
@@ -7,8 +7,8 @@
 from deployment import main, new_job_id, trouble  # noqa: E402
 from net import HttpConnection  # noqa: E402
 
-IDLE_S = 45
-STANDSTILL_S = 1.6
+IDLE_S = 60
+STANDSTILL_S = 1.75
 CLOCK_RATE = 0.98
 CLIENTS = 21
 WORK_MS = 3000
