--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -483,6 +483,9 @@
     0 or 2."""
 
     async def play():
+        # An interrupted script ends its processes as well.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         record = Record(Path(folder) / "record.txt")
         record.write(f"disruption: {'yes' if trouble() else 'no'}")
         deployment = Deployment(record, **options)
@@ -494,7 +497,7 @@
                 record.write(f"BROKEN {text}")
             record.write("the rule was broken" if broken else "the rule held")
             return 1 if broken else 0
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as fault:
+        except (CouldNotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as fault:
             record.write(f"could not run: {fault!r}")
             return 2
         finally:
