Stop runs that no job needs when their agent opens a new link

Half of the connections of one entry's host are reset. Callers whose connection broke send their jobs to another entry after 1.3 s; tasks whose link was reset as well have two runs for 1.2 s.

Cause: a StopJob is sent once. When its link is lost, it is lost too; when the link is gone already, it is never sent. The agent connects again within the entry's lease of 0.6 s and lists the run as held. reconcile() kept a run whose job had been answered, asked for nothing, and the leases that followed kept the run until its own end.

Ruled out: a stop that failed at the endpoint (no run-stopped line); a lapsed lease (0.1 s without a link); a disconnect that was missed (job-ended names it); the same gap in src/entry, which repeats cancellations when it reconciles.

Change: when an agent opens a link, the entry stops every run on the agent's list that no job needs: its job is answered, it was to be stopped as overdue, or it is not known. The stops are in one frame with the EntryHello, which extends the lease of these runs, so no loss can separate the two. Related paths with the same cause, closed by the same change: a DELETE while the link is down, and a lost stop of an overdue run, whose task then never ran elsewhere.

Tests: unit.JobStops. Before the change four of its five cases failed (AStopThatWasLostWithItsLinkIsRepeatedOnTheNextOne, ARunWhoseJobWasCancelledWithoutALinkIsStoppedOnTheNextOne, ALostStopOfAStalledRunIsRepeatedOnTheNextLink, AHeldRunThatTheEntryDoesNotKnowIsStopped); the fifth guards against stopping too much.

--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -1,7 +1,8 @@
 // Implementation class of the scheduler of an entry. JobCore.cpp handles events
 // and timers, JobAdmission.cpp new jobs, JobDispatch.cpp the start of tasks,
 // JobRuns.cpp their ends, JobAnswers.cpp answers, JobRunners.cpp agents,
-// JobConfigCopies.cpp copies of the configuration at agents.
+// JobReconcile.cpp their hellos, JobConfigCopies.cpp copies of the
+// configuration at agents.
 #pragma once
 
 #include "jobs/JobCore.h"
@@ -132,6 +133,8 @@
 
   RunnerIndex rowOf(const RunnerHello &Hello);
   void reconcile(RunnerIndex Index, const RunnerHello &Hello);
+  void endMissingRuns(RunnerIndex Index, const std::vector<RunName> &Held);
+  void repeatStops(RunnerIndex Index, const std::vector<RunName> &Held);
   void updateEndpoint(RunnerIndex Index, const EndpointView &Endpoint);
   void updateLoad(RunnerRow &Row, const EndpointLoad &Load);
   void markUnreachable(RunnerIndex Index, std::string_view Cause);
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -1,4 +1,4 @@
-// Agents of an entry: links, leases, silence and stalled runs.
+// Agents of an entry: messages, leases, silence and stalled runs.
 #include "jobs/JobCoreImpl.h"
 
 #include "runs/LeaseTimes.h"
@@ -42,73 +42,6 @@
 
 } // namespace
 
-void JobCore::Impl::onEvent(const RunnerConnected &Event) {
-  const RunnerIndex Index = rowOf(Event.m_Hello);
-  RunnerRow &Row = m_Rows[Index];
-  if (Row.m_Link)
-    dropRunner(Index, "replaced by a new link");
-  Row.m_Link = Event.m_Link;
-  m_RowByLink[Event.m_Link] = Index;
-  Row.m_StartsSent = 0;
-  Row.m_UnacknowledgedStarts.clear();
-  Row.m_LastMessageAt = m_Now;
-  Row.m_AnswerAwaitedSince = TimePoint::max();
-  Row.m_Suspected = false;
-  Row.m_ConfigHeld = 0;
-  Row.m_ConfigSent = 0;
-  EntryHello Hello;
-  Hello.m_EntryId = m_Options.m_EntryId;
-  Hello.m_Incarnation = m_Options.m_Incarnation;
-  Hello.m_ConfigVersion = m_Config.m_Version;
-  Hello.m_SentAt = m_Now;
-  Row.m_LeaseSentAt = m_Now;
-  send(Row, std::move(Hello));
-  log("agent-connected",
-      {{"agent", Row.m_AgentId},
-       {"endpoint", Event.m_Hello.m_Endpoint.m_Id},
-       {"state", std::string(toString(Event.m_Hello.m_Endpoint.m_State))},
-       {"runs", std::to_string(Row.m_Runs.size())}});
-  reconcile(Index, Event.m_Hello);
-  updateEndpoint(Index, Event.m_Hello.m_Endpoint);
-  updateLoad(m_Rows[Index], Event.m_Hello.m_Load);
-}
-
-RunnerIndex JobCore::Impl::rowOf(const RunnerHello &Hello) {
-  const auto [Found, Added] = m_RowById.try_emplace(
-      Hello.m_AgentId, static_cast<RunnerIndex>(m_Rows.size()));
-  if (Added) {
-    m_Rows.emplace_back();
-    m_Rows.back().m_AgentId = Hello.m_AgentId;
-    m_Rows.back().m_Incarnation = Hello.m_Incarnation;
-  }
-  return Found->second;
-}
-
-void JobCore::Impl::reconcile(RunnerIndex Index, const RunnerHello &Hello) {
-  const Incarnation Before =
-      std::exchange(m_Rows[Index].m_Incarnation, Hello.m_Incarnation);
-  if (Before != Hello.m_Incarnation) {
-    m_Rows[Index].m_AwaitsEarlierRunsEnded = true;
-    return;
-  }
-  if (Hello.m_Entry != m_Options.m_Incarnation)
-    return endRunsAsLost(Index, "unknown-to-agent");
-  for (const TaskEnded &Each : Hello.m_Ended)
-    runEnded(Index, Each);
-  std::vector<RunName> Missing;
-  for (const auto &[Name, Run] : m_Rows[Index].m_Runs)
-    if (std::find(Hello.m_Held.begin(), Hello.m_Held.end(), Name) ==
-        Hello.m_Held.end())
-      Missing.push_back(Name);
-  for (const RunName &Each : Missing) {
-    TaskEnded Lost;
-    Lost.m_Run = Each;
-    Lost.m_End = RunEnd::Lost;
-    runEnded(Index, Lost);
-  }
-  m_Rows[Index].m_LeasesExpiredAt = TimePoint::max();
-}
-
 void JobCore::Impl::onEvent(const MessageReceived &Event) {
   const auto Found = m_RowByLink.find(Event.m_Link);
   if (Found == m_RowByLink.end())
@@ -271,8 +204,7 @@
     if (Age > scaled(Expected, StallFactor) + StallMargin)
       Row.m_Stalled = true;
     const bool Restart =
-        Run.m_Job != NoIndex && !Run.m_Stopping &&
-        Age > scaled(Expected, RestartFactor) + StallMargin &&
+        Run.isNeeded() && Age > scaled(Expected, RestartFactor) + StallMargin &&
         m_Now + StopTime + Expected < m_Jobs[Run.m_Job].m_Times.m_Deadline;
     if (Restart)
       stopStalled(Index, Name, Run);
--- a/src/jobs/RunnerRow.h
+++ b/src/jobs/RunnerRow.h
@@ -19,6 +19,8 @@
   TimePoint m_SentAt{};
   /// A request to stop the run was sent.
   bool m_Stopping = false;
+
+  bool isNeeded() const { return m_Job != NoIndex && !m_Stopping; }
 };
 
 enum class EndpointHealth : std::uint8_t {
