Bound leases when the reading of an endpoint's clock is old

An endpoint that was idle for a minute answers nothing for 1.75 s and then carries out what has arrived: three tasks have two runs for about 25 ms.

Cause: a start names the end of its lease by the endpoint's clock, computed from the last reading of it and the agent's own time since then. The reading was not renewed while an endpoint was idle, and its clock may be 2% slow: after 60 s the lease ended 1.2 s later than meant. latestLeaseExpiry() allows for the drift within one lease only, so runs were reported as lost while their starts could still take effect.

Ruled out: late stops (an endpoint may reach them seconds later, so only the lease can bound a start); holds that extend the lease (none is sent to an endpoint that doesn't answer).

Change: every heartbeat is a reading, and the time since a reading counts 2% less. Each reading bounds the clock from below, and the one with the highest bound is kept, so a delayed heartbeat doesn't shorten leases. One of the two alone isn't enough: without heartbeats a lease would shrink to nothing in 50 s of idleness; without the allowance, 1.5 s between heartbeats are 30 ms, and the margin of a lease is 10 ms. endpoint-silent tells the age of the reading.

Tests: unit.RunnerLeases. Before the change AStartCannotTakeEffectOnceItsRunIsReportedAsLost failed (leases to 111,350 ms when the runs were reported as lost at 110,172 ms of the endpoint's clock) and so did TheAgeOfAClockReadingDoesNotLengthenALease (55,000 ms, allowed 54,920); the other two guard against leases that get too short.

Unit tests pass.

--- a/src/runs/EndpointLeaseClock.cpp
+++ b/src/runs/EndpointLeaseClock.cpp
@@ -6,9 +6,17 @@
 #include <algorithm>
 
 namespace cyclamencroft {
+namespace {
+
+EndpointMs wholeMilliseconds(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
 
 void EndpointLeaseClock::observe(TimePoint Now, EndpointMs Clock) {
-  m_Reading = Reading{Now, Clock};
+  if (!m_Reading || Clock >= earliestClock(Now))
+    m_Reading = Reading{Now, Clock};
 }
 
 void EndpointLeaseClock::reset() {
@@ -17,12 +25,19 @@
 }
 
 EndpointMs EndpointLeaseClock::grant(TimePoint Now) {
-  const Duration Since = Now - m_Reading->m_At;
   m_LatestLeaseExpiry = std::max(
       m_LatestLeaseExpiry, Now + m_Lease * EndpointLeaseExpiryPercent / 100);
-  const auto Ahead =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Since + m_Lease);
-  return m_Reading->m_Clock + Ahead.count();
+  return earliestClock(Now) + wholeMilliseconds(m_Lease);
+}
+
+Duration EndpointLeaseClock::readingAge(TimePoint Now) const {
+  return m_Reading ? Now - m_Reading->m_At : Duration{};
+}
+
+EndpointMs EndpointLeaseClock::earliestClock(TimePoint Now) const {
+  const Duration Elapsed =
+      readingAge(Now) * (100 - EndpointClockDriftPercent) / 100;
+  return m_Reading->m_Clock + wholeMilliseconds(Elapsed);
 }
 
 } // namespace cyclamencroft
--- a/src/runs/EndpointLeaseClock.h
+++ b/src/runs/EndpointLeaseClock.h
@@ -13,7 +13,8 @@
   explicit EndpointLeaseClock(Duration Lease) : m_Lease(Lease) {}
 
   /// Records that a message received at \p Now reported the endpoint's clock as
-  /// \p Clock.
+  /// \p Clock. A message that was delayed shows an earlier time than the
+  /// present reading does and is ignored.
   void observe(TimePoint Now, EndpointMs Clock);
 
   /// Discards the clock reading and the granted leases; to be called when the
@@ -24,23 +25,29 @@
   bool known() const { return m_Reading.has_value(); }
 
   /// Grants a lease that starts at \p Now and returns its end in the endpoint's
-  /// clock, in milliseconds. The lease is never longer than the configured one,
-  /// because the reading was already in transit for some time.
+  /// clock, in milliseconds. By that clock, the lease is never longer than the
+  /// configured one.
   EndpointMs grant(TimePoint Now);
 
   /// Time by which every granted lease has expired, in the agent's clock; zero
   /// when none was granted.
   TimePoint latestLeaseExpiry() const { return m_LatestLeaseExpiry; }
 
+  /// Age of the reading; zero when none is available.
+  Duration readingAge(TimePoint Now) const;
+
 private:
   struct Reading {
     TimePoint m_At;
     EndpointMs m_Clock;
   };
 
+  /// Earliest time that the endpoint's clock can show at \p Now: it was in
+  /// transit, and the clock may be slow since then.
+  EndpointMs earliestClock(TimePoint Now) const;
+
   Duration m_Lease;
-  /// Only the latest reading is used, because the clocks run at different
-  /// rates.
+  /// Invariant: the reading with the highest earliestClock() so far.
   std::optional<Reading> m_Reading;
   TimePoint m_LatestLeaseExpiry{};
 };
--- a/src/runs/LeaseTimes.h
+++ b/src/runs/LeaseTimes.h
@@ -22,8 +22,11 @@
 constexpr Duration LinkIdleTimeout =
     2 * IdleLeaseInterval + std::chrono::seconds(1);
 
-/// Percentage of a lease after which it has surely expired at the endpoint: the
-/// endpoint's clock may be slower than the agent's, and its timer late.
+/// Percentage by which an endpoint's clock may be slower than the agent's.
+constexpr int EndpointClockDriftPercent = 2;
+
+/// Percentage of a lease after which it has surely expired at the endpoint: its
+/// clock may be slow, and its timer late.
 constexpr int EndpointLeaseExpiryPercent = 103;
 
 /// Time after which an unreachable agent has no active runs of an entry
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -54,8 +54,7 @@
   m_Address = Event.m_Address;
   m_View = Event.m_View;
   m_EndpointDraining = Event.m_View.m_State == EndpointState::Draining;
-  if (!m_Clock.known())
-    m_Clock.observe(m_Now, Event.m_Clock);
+  m_Clock.observe(m_Now, Event.m_Clock);
   if (Changed)
     reportEndpoint();
 }
@@ -117,8 +116,11 @@
 void RunnerCore::Impl::markEndpointUnresponsive() {
   ++m_Counters.m_UnansweredCalls;
   if (!m_Unresponsive)
-    log("endpoint-silent", {{"endpoint", m_EndpointIncarnation.m_Id},
-                            {"runs", std::to_string(m_Runs.size())}});
+    log("endpoint-silent",
+        {{"endpoint", m_EndpointIncarnation.m_Id},
+         {"runs", std::to_string(m_Runs.size())},
+         {"clock-reading-age-us",
+          std::to_string(m_Clock.readingAge(m_Now).count())}});
   m_Unresponsive = true;
 }
 
