Ignore clock readings in answers to an earlier incarnation of an endpoint

Cause: an answer to a start or a stop set the reading of the endpoint's clock before it was looked up whether its run is still known. When an endpoint has restarted, its next incarnation's heartbeat may overtake such an answer. Its clock starts anew, so leases were granted far beyond the configured ones until the next reading, and with the rule that the later reading counts for good.

Ruled out: answers to holds, which are matched by number and by the start of the incarnation.

Change: the reading is taken only from answers to runs that are known. All runs of an incarnation are forgotten when the next one is announced.

--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -139,11 +139,12 @@
 }
 
 void RunnerCore::Impl::onEvent(const StartAnswered &Event) {
-  if (Event.m_Clock)
-    m_Clock.observe(m_Now, *Event.m_Clock);
+  // Answers to runs of an earlier incarnation may still arrive, with its clock.
   const auto Found = m_Runs.find(Event.m_Run);
   if (Found == m_Runs.end())
     return;
+  if (Event.m_Clock)
+    m_Clock.observe(m_Now, *Event.m_Clock);
   Run &Answered = Found->second;
   const bool Started = Event.m_Fault == CallFault::None &&
                        Event.m_Result == StartResult::Started;
@@ -261,11 +262,11 @@
 }
 
 void RunnerCore::Impl::onEvent(const StopAnswered &Event) {
-  if (Event.m_Clock)
-    m_Clock.observe(m_Now, *Event.m_Clock);
   const auto Found = m_Runs.find(Event.m_Run);
   if (Found == m_Runs.end())
     return;
+  if (Event.m_Clock)
+    m_Clock.observe(m_Now, *Event.m_Clock);
   Run &Answered = Found->second;
   if (Event.m_Fault == CallFault::Refused)
     return markEndpointLost("stop-refused");
--- a/tests/unit/RunnerLeaseTest.cpp
+++ b/tests/unit/RunnerLeaseTest.cpp
@@ -117,4 +117,24 @@
   BOOST_TEST(leaseOfOnlyStart() >= Clock + 960);
 }
 
+// Guards against leases far beyond the configured ones: an answer of an
+// endpoint that has restarted arrives after the first heartbeat of its next
+// incarnation, whose clock starts anew.
+BOOST_AUTO_TEST_CASE(AnswersOfAnEarlierIncarnationDoNotSetTheClock) {
+  startTask(runNamed(0));
+  EndpointHeartbeat Restarted = heartbeat(2000, 1);
+  Restarted.m_Clock = 100;
+  feed(Restarted);
+  HoldAnswered Lists;
+  Lists.m_Call = commands<CallHold>().back().m_Number;
+  Lists.m_StartedAtMs = 2000;
+  Lists.m_Clock = 100;
+  feed(Lists);
+  answerStart(runNamed(0));
+  feed(StopAnswered{runNamed(0), CallFault::None, false, ClockAtStart});
+  clearCommands();
+  startTask(runNamed(1));
+  BOOST_TEST(leaseOfOnlyStart() <= 100 + 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
