Report run ends that fall between the two hellos of a link

Cause: an agent that opens a link lists held and ended runs in its hello, and sends ends only after the entry's hello, as the entry may be another process by then. A run that ended between the two was in no list and was never sent. Its entry kept the run as in flight: the caller of a finished job got no answer before its deadline, and the cores counted as in use until the link was lost again.

Ruled out: that the entry asks for it; a stop of an unknown run has no effect at the agent.

Change: after the entry's hello, the agent sends the ends that it has not reported on this link. An entry process other than the one that started the runs gets none, as it may use the same run names.

--- a/src/runs/EntryLink.h
+++ b/src/runs/EntryLink.h
@@ -36,14 +36,16 @@
   /// LinkIdleTimeout is closed and opened again.
   TimePoint m_LastMessageAt{};
 
-  /// Run end that was reported at m_At.
-  struct SentEnd {
+  /// End of a run of this entry at m_At.
+  struct RecentEnd {
     TimePoint m_At;
     TaskEnded m_End;
+    /// It was sent on the present connection, by itself or in the RunnerHello.
+    bool m_Reported = false;
   };
   /// Oldest first. They may have been lost with the connection and are sent
   /// again with the next hello.
-  std::deque<SentEnd> m_RecentEnds;
+  std::deque<RecentEnd> m_RecentEnds;
 
   /// Shortest time between two load reports.
   Duration m_ReportInterval{};
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -98,6 +98,7 @@
   void dropLink(EntryLink &Link, std::string Reason);
   void send(EntryLink &Link, LinkMessage Message);
   void reportRunEnd(EntryLink &Owner, TaskEnded End);
+  void reportMissedEnds(EntryLink &Link);
   void reportLoad(EntryLink &Link);
   /// Schedules load reports after the load has changed. \p StartedBy has sent a
   /// start and suspects the agent unless a report confirms it soon.
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -50,8 +50,10 @@
     if (Each.m_Owner == &Link)
       Hello.m_Held.push_back(Each.m_Name);
   });
-  for (const EntryLink::SentEnd &Sent : Link.m_RecentEnds)
-    Hello.m_Ended.push_back(Sent.m_End);
+  for (EntryLink::RecentEnd &Each : Link.m_RecentEnds) {
+    Hello.m_Ended.push_back(Each.m_End);
+    Each.m_Reported = true;
+  }
   Hello.m_Endpoint = m_View;
   Hello.m_Endpoint.m_State = offeredState();
   Hello.m_Load = load(Link);
@@ -93,6 +95,7 @@
   Link.m_Entry = Hello.m_Incarnation;
   measureRoundTrip(Link);
   extendLease(Link, Hello.m_SentAt);
+  reportMissedEnds(Link);
   log("entry-link-open",
       {{"entry", Hello.m_EntryId}, {"address", Link.m_Address}});
   if (m_Config.m_Version > Hello.m_ConfigVersion)
@@ -180,7 +183,7 @@
   while (!Owner.m_RecentEnds.empty() &&
          Owner.m_RecentEnds.front().m_At + RecentEndRetention < m_Now)
     Owner.m_RecentEnds.pop_front();
-  Owner.m_RecentEnds.push_back({m_Now, End});
+  Owner.m_RecentEnds.push_back({m_Now, End, Owner.m_HelloReceived});
   if (!Owner.m_HelloReceived)
     return;
   send(Owner, End);
@@ -188,6 +191,15 @@
   Owner.m_LoadSentAt = m_Now;
 }
 
+/// Runs that ended between the two hellos of a link are on no list of the
+/// RunnerHello. They could not be reported before it was known that the entry
+/// is the process that has started them.
+void RunnerCore::Impl::reportMissedEnds(EntryLink &Link) {
+  for (EntryLink::RecentEnd &Each : Link.m_RecentEnds)
+    if (!std::exchange(Each.m_Reported, true))
+      send(Link, Each.m_End);
+}
+
 void RunnerCore::Impl::reportLoad(EntryLink &Link) {
   Link.m_ReportDueAt = TimePoint::max();
   Link.m_LoadSentAt = m_Now;
--- a/tests/unit/RunnerHarness.cpp
+++ b/tests/unit/RunnerHarness.cpp
@@ -1,6 +1,8 @@
 // Test harness for the decision core of the run agent.
 #include "RunnerHarness.h"
 
+#include <boost/test/unit_test.hpp>
+
 namespace cyclamencroft {
 namespace {
 
@@ -63,6 +65,10 @@
 
 void RunnerHarness::openLink(LinkId Opened, Incarnation Id) {
   feed(RunnerLinkOpened{Opened, "127.0.0.1:80"});
+  answerHello(Opened, Id);
+}
+
+void RunnerHarness::answerHello(LinkId Opened, Incarnation Id) {
   EntryHello Hello;
   Hello.m_EntryId = "entry-1";
   Hello.m_Incarnation = Id;
@@ -87,6 +93,17 @@
   feed(StartAnswered{Run, CallFault::None, Result, 50000});
 }
 
+void RunnerHarness::startAndAnswer(const RunName &Run, std::uint32_t Cores) {
+  startTask(Run, Cores);
+  answerStart(Run);
+}
+
+TaskEnded RunnerHarness::onlyEnd() const {
+  const auto Ends = messages<TaskEnded>();
+  BOOST_REQUIRE(Ends.size() == 1);
+  return Ends.front();
+}
+
 void RunnerHarness::answerHold(std::vector<RunName> Running,
                                std::vector<EndedRun> Ended) {
   HoldAnswered Answer;
--- a/tests/unit/RunnerHarness.h
+++ b/tests/unit/RunnerHarness.h
@@ -27,10 +27,13 @@
   heartbeat(std::uint64_t StartedAtMs, std::uint64_t Sequence,
             EndpointState State = EndpointState::Active) const;
   void openLink(LinkId Opened = Link, Incarnation Id = Entry);
+  /// Answers the agent's hello on an open link.
+  void answerHello(LinkId Opened, Incarnation Id);
   void sendLease(LinkId From = Link);
   void startTask(const RunName &Run, std::uint32_t Cores = 1);
   void answerStart(const RunName &Run,
                    StartResult Result = StartResult::Started);
+  void startAndAnswer(const RunName &Run, std::uint32_t Cores = 1);
   /// Answers the pending hold call.
   void answerHold(std::vector<RunName> Running,
                   std::vector<EndedRun> Ended = {});
@@ -53,6 +56,8 @@
         Found.push_back(*Match);
     return Found;
   }
+  /// The only end that was reported; the test fails unless there is just one.
+  TaskEnded onlyEnd() const;
   void clearCommands() { m_Commands.clear(); }
 
   TimePoint now() const { return m_Now; }
