Handle the hello of an entry in a function of its own; comments of the lease clock

Read as a newcomer would: one function did two things, and two comments left open what they refer to. No change of behaviour; unit tests pass.

--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -131,6 +131,7 @@
   std::optional<RunnerIndex> nextCopyTarget() const;
   void requestConfig();
 
+  void sendHello(RunnerRow &Row);
   RunnerIndex rowOf(const RunnerHello &Hello);
   void reconcile(RunnerIndex Index, const RunnerHello &Hello);
   void endMissingRuns(RunnerIndex Index, const std::vector<RunName> &Held);
--- a/src/jobs/JobReconcile.cpp
+++ b/src/jobs/JobReconcile.cpp
@@ -21,13 +21,7 @@
   Row.m_Suspected = false;
   Row.m_ConfigHeld = 0;
   Row.m_ConfigSent = 0;
-  EntryHello Hello;
-  Hello.m_EntryId = m_Options.m_EntryId;
-  Hello.m_Incarnation = m_Options.m_Incarnation;
-  Hello.m_ConfigVersion = m_Config.m_Version;
-  Hello.m_SentAt = m_Now;
-  Row.m_LeaseSentAt = m_Now;
-  send(Row, std::move(Hello));
+  sendHello(Row);
   log("agent-connected",
       {{"agent", Row.m_AgentId},
        {"endpoint", Event.m_Hello.m_Endpoint.m_Id},
@@ -38,6 +32,17 @@
   updateLoad(m_Rows[Index], Event.m_Hello.m_Load);
 }
 
+/// The hello extends the lease as well.
+void JobCore::Impl::sendHello(RunnerRow &Row) {
+  EntryHello Hello;
+  Hello.m_EntryId = m_Options.m_EntryId;
+  Hello.m_Incarnation = m_Options.m_Incarnation;
+  Hello.m_ConfigVersion = m_Config.m_Version;
+  Hello.m_SentAt = m_Now;
+  Row.m_LeaseSentAt = m_Now;
+  send(Row, std::move(Hello));
+}
+
 RunnerIndex JobCore::Impl::rowOf(const RunnerHello &Hello) {
   const auto [Found, Added] = m_RowById.try_emplace(
       Hello.m_AgentId, static_cast<RunnerIndex>(m_Rows.size()));
--- a/src/runs/EndpointLeaseClock.h
+++ b/src/runs/EndpointLeaseClock.h
@@ -13,8 +13,8 @@
   explicit EndpointLeaseClock(Duration Lease) : m_Lease(Lease) {}
 
   /// Records that a message received at \p Now reported the endpoint's clock as
-  /// \p Clock. A message that was delayed shows an earlier time than the
-  /// present reading does and is ignored.
+  /// \p Clock. Ignored if an earlier reading already implies a later time, as
+  /// happens when a message is delayed.
   void observe(TimePoint Now, EndpointMs Clock);
 
   /// Discards the clock reading and the granted leases; to be called when the
@@ -42,8 +42,8 @@
     EndpointMs m_Clock;
   };
 
-  /// Earliest time that the endpoint's clock can show at \p Now: it was in
-  /// transit, and the clock may be slow since then.
+  /// Earliest time that the endpoint's clock can show at \p Now, as the clock
+  /// may be slow since the reading; requires a reading.
   EndpointMs earliestClock(TimePoint Now) const;
 
   Duration m_Lease;
