Soak: reset half of the connections of an entry's host; split its deployment off

Change: a fault of its own resets half of an entry's links and callers' connections every half second; callers whose connection broke send again. It is drawn after all other faults of a seed, which stay as they are. The links break first, and the callers' connections up to 60 ms later, about the time for which an agent has no link.

The order of random draws is kept.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -123,6 +123,7 @@
   if (!Sent->m_OwnConnection)
     return m_Pools[Sent->m_Entry]->call(std::move(Call), Done);
   const auto Cancel = httpCallAsync(m_Context.m_Io, std::move(Call), Done);
+  m_OwnConnections[Sent->m_Job.m_Id] = {Sent, Cancel};
   if (isActive(Type::CallersDisconnect) && m_Random.below(4) == 0)
     disconnectLater(Sent, Cancel);
 }
@@ -134,16 +135,31 @@
         if (std::exchange(Sent->m_Ended, true))
           return;
         Cancel();
+        m_OwnConnections.erase(Sent->m_Job.m_Id);
         m_Context.m_Guarantees.jobAnswered(
             RuntimeClock::now(), Sent->m_Job.m_Id, CallerOutcome::Disconnected);
         closeJob(*Sent, CallerOutcome::Disconnected);
       });
 }
 
+void Callers::resetConnections(std::uint32_t Entry,
+                               std::uint32_t SharePercent) {
+  std::vector<OwnConnection> Selected;
+  for (const auto &[Job, Each] : m_OwnConnections)
+    if (Each.m_Sent->m_Entry == Entry && m_Random.below(100) < SharePercent)
+      Selected.push_back(Each);
+  for (const OwnConnection &Each : Selected) {
+    Each.m_Close();
+    handleResponse(Each.m_Sent,
+                   Error{"read response", "", "reset by the soak"});
+  }
+}
+
 void Callers::handleResponse(const AttemptPtr &Sent,
                              const HttpOutcome &Outcome) {
   if (std::exchange(Sent->m_Ended, true))
     return;
+  m_OwnConnections.erase(Sent->m_Job.m_Id);
   const CallerOutcome Result = classify(*Sent, Outcome);
   m_Context.m_Guarantees.jobAnswered(RuntimeClock::now(), Sent->m_Job.m_Id,
                                      Result);
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -59,6 +60,9 @@
   void stop() { m_Stopped = true; }
   void begin(TrafficFault::Type Type) { m_Faults.insert(Type); }
   void end(TrafficFault::Type Type) { m_Faults.erase(m_Faults.find(Type)); }
+  /// Breaks a share of the connections that callers have to an entry; each of
+  /// them sends its job again.
+  void resetConnections(std::uint32_t Entry, std::uint32_t SharePercent);
 
   std::size_t openJobs() const { return m_OpenJobs; }
   const CallerCounts &counts() const { return m_Counts; }
@@ -78,6 +82,10 @@
     bool m_Measured = false;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
+  struct OwnConnection {
+    AttemptPtr m_Sent;
+    std::function<void()> m_Close;
+  };
 
   bool isActive(TrafficFault::Type Type) const {
     return m_Faults.count(Type) != 0;
@@ -102,6 +110,8 @@
   /// Consecutive failed readiness checks of each entry.
   std::vector<std::uint32_t> m_FailedChecks;
   std::multiset<TrafficFault::Type> m_Faults;
+  /// Connections on which a single attempt waits for its answer.
+  std::map<JobId, OwnConnection> m_OwnConnections;
   bool m_Stopped = false;
   bool m_ReducedLoad = false;
   bool m_Measuring = false;
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -16,6 +16,9 @@
 constexpr Duration MinFaultDuration = milliseconds(200);
 constexpr std::uint32_t FaultDurationSpreadMs = 3800;
 
+constexpr std::uint32_t FaultsPerHostReset = 6;
+constexpr std::uint32_t HostResetSharePercent = 50;
+
 constexpr std::array<const char *, 7> LinkModes = {
     R"({"mode":"cut"})",
     R"({"mode":"reset"})",
@@ -98,25 +101,45 @@
   return Names.at(static_cast<std::size_t>(Each.m_Type));
 }
 
+std::string text(const HostResets &Each) {
+  return std::to_string(Each.m_SharePercent) +
+         "% of the connections of entry " + std::to_string(Each.m_Entry) +
+         " are reset";
+}
+
 std::string text(const ConfigurationChange &) { return "configuration"; }
 
+/// A fault of an empty kind at a random time of the fault phase.
+Fault randomTimes(RandomSource &Random, const SoakSettings &Settings) {
+  const auto SpanMs = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(Settings.m_FaultPhase).count());
+  Fault Generated;
+  Generated.m_At = milliseconds(Random.below(SpanMs));
+  Generated.m_Duration =
+      MinFaultDuration + milliseconds(Random.below(FaultDurationSpreadMs));
+  return Generated;
+}
+
 } // namespace
 
 std::vector<Fault> generateFaults(const SoakSettings &Settings) {
   RandomSource Random(Settings.m_Seed);
   const auto Count = static_cast<std::uint32_t>(Settings.m_FaultPhase /
                                                 Settings.m_FaultInterval);
-  const auto SpanMs = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(Settings.m_FaultPhase).count());
   std::vector<Fault> Plan;
   for (std::uint32_t Number = 0; Number < Count; ++Number) {
-    Fault Generated;
-    Generated.m_At = milliseconds(Random.below(SpanMs));
-    Generated.m_Duration =
-        MinFaultDuration + milliseconds(Random.below(FaultDurationSpreadMs));
+    Fault Generated = randomTimes(Random, Settings);
     Generated.m_Kind = randomKind(Random, Settings);
     Plan.push_back(Generated);
   }
+  // Drawn after all others, which stay as they are for a seed.
+  for (std::uint32_t Number = 0; Number < Count / FaultsPerHostReset;
+       ++Number) {
+    Fault Generated = randomTimes(Random, Settings);
+    Generated.m_Kind =
+        HostResets{Random.below(Settings.m_Entries), HostResetSharePercent};
+    Plan.push_back(Generated);
+  }
   std::stable_sort(
       Plan.begin(), Plan.end(),
       [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
--- a/tests/soak/Faults.h
+++ b/tests/soak/Faults.h
@@ -64,12 +64,19 @@
   Type m_Type = Type::Burst;
 };
 
+/// Resets a share of the connections of an entry's host, repeatedly: links of
+/// agents and connections of callers. Its process continues.
+struct HostResets {
+  std::uint32_t m_Entry = 0;
+  std::uint32_t m_SharePercent = 0;
+};
+
 /// Publishes a configuration with other queues.
 struct ConfigurationChange {};
 
 using FaultKind =
     std::variant<ProcessFault, LinkFault, StoreFault, EndpointFault,
-                 TrafficFault, ConfigurationChange>;
+                 TrafficFault, HostResets, ConfigurationChange>;
 
 struct Fault {
   /// Offset from the start of the fault phase.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -2,22 +2,13 @@
 // threads.
 #include "soak/SoakRun.h"
 
-#include "bench/Relay.h"
-#include "http/HttpClient.h"
 #include "platform/StoreWire.h"
-#include "soak/DaemonProcess.h"
-#include "soak/KeyedStore.h"
-#include "soak/LeasedEndpoint.h"
 #include "soak/RunAfter.h"
+#include "soak/SoakDeployment.h"
 
 #include <nlohmann/json.hpp>
 
-#include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <map>
-#include <sstream>
-#include <stdexcept>
 #include <utility>
 
 namespace cyclamencroft::soak {
@@ -41,36 +32,33 @@
 constexpr Duration RunSettleTime = seconds(3);
 /// Shorter stalls of the soak itself cannot be mistaken for one of the system.
 constexpr Duration MinReportedStall = milliseconds(150);
-constexpr std::uint32_t EndpointCores = 16;
 
-std::string writeFile(const std::string &Path, const std::string &Text) {
-  std::ofstream(Path) << Text;
-  return Path;
-}
+/// Time between two rounds of resets of one host.
+constexpr Duration HostResetInterval = milliseconds(500);
+/// A relay that resets connections refuses new ones for as long.
+constexpr Duration LinkResetDuration = milliseconds(20);
+/// Connections of callers break up to this long after the links: about the time
+/// for which an agent has no link.
+constexpr std::uint32_t MaxCallerResetDelayMs = 60;
 
 } // namespace
 
 class SoakRun::Impl {
 public:
   Impl(SoakSettings Settings, std::uint32_t Slot)
-      : m_Settings(std::move(Settings)), m_Addresses(Slot),
-        m_Random(m_Settings.m_Seed + 2),
-        m_Store(m_Io, m_Settings.m_Seed + 3,
-                [this](std::uint32_t Client, const std::string &Topic,
-                       const std::string &Value) {
-                  return rewriteLinkAddress(Client, Topic, Value);
-                }),
-        m_Callers(Callers::Context{m_Io, m_Settings, m_Addresses, m_Guarantees,
-                                   m_Configurations, m_Disruptions,
-                                   [this](std::uint32_t Entry) {
-                                     return m_Entries[Entry]->incarnation();
-                                   }}) {
-    std::filesystem::create_directories(m_Settings.m_Folder);
-    openStore();
-    makeEntries();
-    makeAgents();
-    makeRelays();
-    makeEndpoints();
+      : m_Settings(std::move(Settings)), m_Random(m_Settings.m_Seed + 2),
+        m_ResetRandom(m_Settings.m_Seed + 4),
+        m_Deployment(m_Io, m_Settings, Slot),
+        m_Callers(Callers::Context{
+            m_Io, m_Settings, m_Deployment.addresses(), m_Guarantees,
+            m_Configurations, m_Disruptions, [this](std::uint32_t Entry) {
+              return m_Deployment.entries()[Entry]->incarnation();
+            }}) {
+    publishConfiguration();
+    m_Deployment.makeEndpoints(m_Random,
+                               [this](std::uint32_t Number, Size Capacity) {
+                                 return observer(Number, Capacity);
+                               });
   }
 
   SoakResult run() {
@@ -100,84 +88,6 @@
 private:
   // Set-up.
 
-  void openStore() {
-    for (std::uint32_t Client = 0;
-         Client < m_Settings.m_Entries + m_Settings.m_Endpoints; ++Client)
-      m_Store.listen(Client, m_Addresses.store(Client));
-    publishConfiguration();
-  }
-
-  void makeEntries() {
-    for (std::uint32_t I = 0; I < m_Settings.m_Entries; ++I) {
-      const std::string Name = "entry-" + std::to_string(I);
-      const std::string Text =
-          "id = \"" + Name + "\"\nfailure_domain = \"soak\"\n" +
-          "endpoint_lease_ms = 1000\n\n[listen]\njobs = \"" +
-          m_Addresses.jobs(I) + "\"\nready = \"" + m_Addresses.ready(I) +
-          "\"\nlinks = \"" + m_Addresses.links(I) + "\"\nmetrics = \"" +
-          m_Addresses.entryMetrics(I) + "\"\n\n[store]\naddress = \"" +
-          m_Addresses.store(I) + "\"\n";
-      m_Entries.push_back(makeDaemon(Name, "cyclamencroft-job-entry", Text));
-    }
-  }
-
-  void makeAgents() {
-    for (std::uint32_t I = 0; I < m_Settings.m_Endpoints; ++I) {
-      const std::string Name = "agent-" + std::to_string(I);
-      std::string Seeds;
-      for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E)
-        Seeds.append(E == 0 ? "\"" : ", \"")
-            .append(m_Addresses.relay(I, E))
-            .append("\"");
-      std::ostringstream Text;
-      Text << "id = \"" << Name << "\"\nfailure_domain = \"soak\"\n"
-           << "endpoint_lease_ms = 1000\nheartbeat_interval_ms = 500\n\n"
-           << "[listen]\nendpoint = \"" << m_Addresses.agent(I)
-           << "\"\nmetrics = \"" << m_Addresses.agentMetrics(I)
-           << "\"\n\n[entries]\nseeds = [" << Seeds
-           << "]\nlink_port = " << LoopbackAddresses::LinkPort
-           << "\n\n[store]\naddress = \""
-           << m_Addresses.store(m_Settings.m_Entries + I) << "\"\n";
-      m_Agents.push_back(
-          makeDaemon(Name, "cyclamencroft-run-agent", Text.str()));
-    }
-  }
-
-  std::unique_ptr<DaemonProcess> makeDaemon(const std::string &Name,
-                                            const std::string &Program,
-                                            const std::string &Text) const {
-    const std::string Base = m_Settings.m_Folder + '/' + Name;
-    return std::make_unique<DaemonProcess>(
-        Name, Program, writeFile(Base + ".toml", Text), Base + ".log");
-  }
-
-  void makeRelays() {
-    for (std::uint32_t A = 0; A < m_Settings.m_Endpoints; ++A)
-      for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E) {
-        RelayOptions Options;
-        Options.m_Listen = m_Addresses.relay(A, E);
-        Options.m_Target = m_Addresses.links(E);
-        m_Relays.emplace(std::pair(A, E), std::make_unique<Relay>(Options));
-      }
-  }
-
-  void makeEndpoints() {
-    for (std::uint32_t I = 0; I < m_Settings.m_Endpoints; ++I) {
-      LeasedEndpointOptions Options;
-      Options.m_Name = "endpoint-" + std::to_string(I);
-      Options.m_Service = "desk";
-      Options.m_Listen = m_Addresses.endpoint(I);
-      Options.m_AgentAddress = m_Addresses.agent(I);
-      Options.m_Capacity.m_MilliCores = wholeCores(EndpointCores);
-      Options.m_Capacity.m_MemoryMiB = 8192;
-      // Clocks of endpoints may be up to 2% slow.
-      Options.m_ClockRate = 1 - 0.005 * m_Random.below(5);
-      Options.m_Seed = m_Random.next();
-      m_Endpoints.push_back(std::make_unique<LeasedEndpoint>(
-          m_Io, Options, observer(I, Options.m_Capacity)));
-    }
-  }
-
   EndpointObserver observer(std::uint32_t Number, Size Capacity) {
     EndpointObserver Observer;
     Observer.m_OnStart = [this, Capacity](const std::string &Name) {
@@ -202,23 +112,12 @@
 
   void checkDrained(TimePoint Now, std::uint32_t Number,
                     const std::string &Name, const RunName &Run) {
-    const auto Since = m_Endpoints[Number]->drainAcknowledgedAt();
+    const auto Since = m_Deployment.endpoints()[Number]->drainAcknowledgedAt();
     if (Since && Now - *Since > Bounds::MaxDrainDelay)
       m_Guarantees.addViolation(Now, "no starts at a draining endpoint",
                                 describe(Run) + " started at " + Name);
   }
 
-  /// Replaces entry addresses for agents, which connect through the relays.
-  std::string rewriteLinkAddress(std::uint32_t Client, const std::string &Topic,
-                                 const std::string &Value) const {
-    if (Topic != platform::EntriesTopic || Client < m_Settings.m_Entries)
-      return Value;
-    for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E)
-      if (Value == m_Addresses.links(E))
-        return m_Addresses.relay(Client - m_Settings.m_Entries, E);
-    return Value;
-  }
-
   /// Publishes the queue "desk" and a random subset of the others.
   void publishConfiguration() {
     constexpr std::uint32_t OtherQueues = 6;
@@ -237,25 +136,23 @@
                         {"target_latency_ms", 60},
                         {"timeout_ms", 4000}});
     m_Version += 1 + m_Random.below(4);
-    m_Store.append(platform::OperatorTopic,
-                   {platform::ConfigurationKey,
-                    json{{"version", m_Version}, {"routes", Routes}}.dump()});
+    m_Deployment.store().append(
+        platform::OperatorTopic,
+        {platform::ConfigurationKey,
+         json{{"version", m_Version}, {"routes", Routes}}.dump()});
     m_Configurations.published(RuntimeClock::now(), m_Version, Queues);
   }
 
   void start() {
-    for (const auto &Each : m_Entries)
-      Each->start();
-    for (const auto &Each : m_Agents)
-      Each->start();
-    for (const auto &Each : m_Endpoints)
-      Each->start();
+    m_Deployment.start();
     for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E)
-      m_Disruptions.begin(m_Entries[E]->name(), RuntimeClock::now(), false);
+      m_Disruptions.begin(m_Deployment.entries()[E]->name(),
+                          RuntimeClock::now(), false);
     check();
     runFor(DiscoveryTime);
     for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E)
-      m_Disruptions.endAll(m_Entries[E]->name(), RuntimeClock::now());
+      m_Disruptions.endAll(m_Deployment.entries()[E]->name(),
+                           RuntimeClock::now());
     m_Callers.start();
   }
 
@@ -269,7 +166,8 @@
 
   void begin(const ProcessFault &Kind, Duration FaultDuration) {
     DaemonProcess &Target =
-        *(Kind.m_Role == Role::Entry ? m_Entries : m_Agents)[Kind.m_Target];
+        *(Kind.m_Role == Role::Entry ? m_Deployment.entries()
+                                     : m_Deployment.agents())[Kind.m_Target];
     const TimePoint Now = RuntimeClock::now();
     const bool Planned = Kind.m_Type == ProcessFault::Type::Terminate ||
                          Kind.m_Type == ProcessFault::Type::HangUp;
@@ -280,19 +178,34 @@
   }
 
   void begin(const LinkFault &Kind, Duration FaultDuration) {
-    setRelay(Kind, Kind.m_Mode);
-    runAfter(m_Io, FaultDuration,
-             [this, Kind] { setRelay(Kind, R"({"mode":"pass"})"); });
+    m_Deployment.setLink(Kind, Kind.m_Mode);
+    runAfter(m_Io, FaultDuration, [this, Kind] {
+      m_Deployment.setLink(Kind, R"({"mode":"pass"})");
+    });
+  }
+
+  void begin(const HostResets &Kind, Duration FaultDuration) {
+    const TimePoint Now = RuntimeClock::now();
+    m_Disruptions.begin(m_Deployment.entries()[Kind.m_Entry]->name(), Now,
+                        false);
+    resetConnections(Kind, Now + FaultDuration);
   }
 
-  void setRelay(const LinkFault &Kind, const std::string &Mode) {
-    HttpCall Call;
-    Call.m_Address =
-        m_Relays.at({Kind.m_Agent, Kind.m_Entry})->controlAddress();
-    Call.m_Method = "POST";
-    Call.m_Target = "/mode";
-    Call.m_Body = Mode;
-    httpCallAsync(m_Io, std::move(Call), [](const HttpOutcome &) {});
+  void resetConnections(const HostResets &Kind, TimePoint End) {
+    const TimePoint Now = RuntimeClock::now();
+    if (Now >= End)
+      return m_Disruptions.endOne(m_Deployment.entries()[Kind.m_Entry]->name(),
+                                  Now);
+    for (std::uint32_t A = 0; A < m_Settings.m_Endpoints; ++A)
+      if (m_ResetRandom.below(100) < Kind.m_SharePercent)
+        begin(LinkFault{A, Kind.m_Entry, R"({"mode":"reset"})"},
+              LinkResetDuration);
+    runAfter(m_Io, milliseconds(m_ResetRandom.below(MaxCallerResetDelayMs)),
+             [this, Kind] {
+               m_Callers.resetConnections(Kind.m_Entry, Kind.m_SharePercent);
+             });
+    runAfter(m_Io, HostResetInterval,
+             [this, Kind, End] { resetConnections(Kind, End); });
   }
 
   void begin(const StoreFault &Kind, Duration FaultDuration) {
@@ -306,9 +219,9 @@
     ForEachStore([&](const std::string &Component) {
       m_Disruptions.begin(Component, Now, false);
     });
-    m_Store.begin(Kind);
+    m_Deployment.store().begin(Kind);
     runAfter(m_Io, FaultDuration, [this, Kind, ForEachStore] {
-      m_Store.end(Kind);
+      m_Deployment.store().end(Kind);
       const TimePoint Ended = RuntimeClock::now();
       ForEachStore([&](const std::string &Component) {
         m_Disruptions.endOne(Component, Ended);
@@ -317,7 +230,7 @@
   }
 
   void begin(const EndpointFault &Kind, Duration FaultDuration) {
-    LeasedEndpoint &Target = *m_Endpoints[Kind.m_Target];
+    LeasedEndpoint &Target = *m_Deployment.endpoints()[Kind.m_Target];
     Target.begin(Kind.m_Type);
     runAfter(m_Io, FaultDuration, [&Target, Kind] { Target.end(Kind.m_Type); });
   }
@@ -339,7 +252,8 @@
     if (m_CheckedAt != TimePoint{})
       noteStall(Now - m_CheckedAt - CheckInterval, Now);
     m_CheckedAt = Now;
-    for (const auto *Daemons : {&m_Entries, &m_Agents})
+    for (const auto *Daemons :
+         {&m_Deployment.entries(), &m_Deployment.agents()})
       for (const auto &Each : *Daemons)
         checkDaemon(*Each, Now);
     runAfter(m_Io, CheckInterval, [this] { check(); });
@@ -376,7 +290,7 @@
   }
 
   void shutDown() {
-    for (auto *Daemons : {&m_Entries, &m_Agents})
+    for (auto *Daemons : {&m_Deployment.entries(), &m_Deployment.agents()})
       for (auto &Each : *Daemons)
         if (!Each->terminate(std::chrono::duration_cast<milliseconds>(
                 Bounds::ShutdownTimeout)))
@@ -386,19 +300,15 @@
   }
 
   SoakSettings m_Settings;
-  LoopbackAddresses m_Addresses;
   boost::asio::io_context m_Io{1};
   RandomSource m_Random;
+  /// Apart from m_Random, so that resets leave the other draws as they are.
+  RandomSource m_ResetRandom;
   GuaranteeChecker m_Guarantees;
   ConfigurationChecker m_Configurations;
   DisruptionHistory m_Disruptions;
   ConfigVersion m_Version = 0;
-  KeyedStore m_Store;
-  std::vector<std::unique_ptr<DaemonProcess>> m_Entries;
-  std::vector<std::unique_ptr<DaemonProcess>> m_Agents;
-  std::map<std::pair<std::uint32_t, std::uint32_t>, std::unique_ptr<Relay>>
-      m_Relays;
-  std::vector<std::unique_ptr<LeasedEndpoint>> m_Endpoints;
+  SoakDeployment m_Deployment;
   Callers m_Callers;
   TimePoint m_CheckedAt{};
   SoakResult m_Result;
