One function for the events of session processes, one fixture for connected run agents

The two processes of a session handled an event in the same fifteen lines, and three test files connected an agent in the same way.

--- a/tests/session/AgentNode.cpp
+++ b/tests/session/AgentNode.cpp
@@ -56,17 +56,8 @@
 }
 
 void AgentNode::handleEvent(const AgentEvent &Event) {
-  if (!alive())
-    return;
-  std::vector<AgentCommand> Commands;
-  m_Core.handle(clock(), Event, Commands);
-  for (const AgentCommand &Command : Commands)
-    std::visit([this](const auto &C) { execute(C); }, Command);
-  const std::string Process =
-      name() + "#" +
-      std::to_string(static_cast<std::uint64_t>(m_Options.m_Incarnation));
-  m_Context.m_Checker.checkConfigVersion(Process,
-                                         m_Core.status().m_ConfigVersion);
+  handleWith<AgentCommand>(m_Core, Event, m_Options.m_Incarnation,
+                           [this](const auto &Command) { execute(Command); });
 }
 
 void AgentNode::execute(const StartRun &Command) {
--- a/tests/session/EntryNode.cpp
+++ b/tests/session/EntryNode.cpp
@@ -91,17 +91,8 @@
 }
 
 void EntryNode::handleEvent(const EntryEvent &Event) {
-  if (!alive())
-    return;
-  std::vector<EntryCommand> Commands;
-  m_Core.handle(clock(), Event, Commands);
-  for (const EntryCommand &Command : Commands)
-    std::visit([this](const auto &C) { execute(C); }, Command);
-  const std::string Process =
-      name() + "#" +
-      std::to_string(static_cast<std::uint64_t>(m_Options.m_Incarnation));
-  m_Context.m_Checker.checkConfigVersion(Process,
-                                         m_Core.status().m_ConfigVersion);
+  handleWith<EntryCommand>(m_Core, Event, m_Options.m_Incarnation,
+                           [this](const auto &Command) { execute(Command); });
 }
 
 void EntryNode::execute(const AnswerRequest &Command) {
--- a/tests/session/SessionNode.h
+++ b/tests/session/SessionNode.h
@@ -8,6 +8,9 @@
 
 #include <deque>
 #include <map>
+#include <string>
+#include <variant>
+#include <vector>
 
 namespace cyclamencroft::session {
 
@@ -65,6 +68,23 @@
   TimePoint clock() const {
     return TimePoint(m_Context.m_Events.now() + m_ClockOffset);
   }
+  /// Passes \p NewEvent to a decision core, runs \p Execute with each command,
+  /// and checks the version of the configuration afterwards. Does nothing after
+  /// the process has ended.
+  template <class Command, class Core, class Event, class Executor>
+  void handleWith(Core &DecisionCore, const Event &NewEvent, Incarnation Id,
+                  const Executor &Execute) {
+    if (!m_Alive)
+      return;
+    std::vector<Command> Commands;
+    DecisionCore.handle(clock(), NewEvent, Commands);
+    for (const Command &Each : Commands)
+      std::visit(Execute, Each);
+    const std::string Process =
+        m_Name + "#" + std::to_string(static_cast<std::uint64_t>(Id));
+    m_Context.m_Checker.checkConfigVersion(
+        Process, DecisionCore.status().m_ConfigVersion);
+  }
   void send(const SendMessage &Command);
   void close(const CloseLink &Command);
   void note(const std::string &Text);
--- a/tests/unit/RunnerLeaseTest.cpp
+++ b/tests/unit/RunnerLeaseTest.cpp
@@ -1,6 +1,6 @@
 // Leases that an agent grants by the clock of its endpoint, which may be 2%
 // slow: a run that is reported as lost must not begin or continue.
-#include "RunnerHarness.h"
+#include "ConnectedRunner.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,15 +9,10 @@
 
 namespace {
 
-struct Fixture : RunnerHarness {
+struct Fixture : ConnectedRunner {
   static constexpr EndpointMs ClockAtStart = 50000;
   static constexpr auto HeartbeatInterval = 1500ms;
 
-  Fixture() : m_StartedAt(now()) {
-    bringUp();
-    openLink();
-  }
-
   /// Clock of an endpoint that runs 2% slow since the agent has known it.
   EndpointMs slowClock() const {
     const auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -48,7 +43,8 @@
     return Starts[0].m_LeaseEnd;
   }
 
-  TimePoint m_StartedAt;
+  /// The endpoint's clock shows ClockAtStart.
+  const TimePoint m_StartedAt = now();
   std::uint64_t m_Sequence = 1;
 };
 
--- a/tests/unit/RunnerLinkTest.cpp
+++ b/tests/unit/RunnerLinkTest.cpp
@@ -1,25 +1,13 @@
 // Tests the links between an agent and its entries: leases of entries, delayed
 // messages, and what is reported on a new link.
-#include "RunnerHarness.h"
+#include "ConnectedRunner.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace cyclamencroft;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct Fixture : RunnerHarness {
-  Fixture() {
-    bringUp();
-    openLink();
-    clearCommands();
-  }
-};
-
-} // namespace
-
-BOOST_FIXTURE_TEST_SUITE(RunnerLinks, Fixture)
+BOOST_FIXTURE_TEST_SUITE(RunnerLinks, ConnectedRunner)
 
 // Guards against runs that continue for an entry that has lost their callers.
 BOOST_AUTO_TEST_CASE(RunsAreStoppedWhenTheLeaseOfTheirEntryExpires) {
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -1,6 +1,6 @@
 // Tests the states of a run at the agent: a task must not run twice at the same
 // time, and capacity must not be assigned twice.
-#include "RunnerHarness.h"
+#include "ConnectedRunner.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,13 +9,7 @@
 
 namespace {
 
-struct Fixture : RunnerHarness {
-  Fixture() {
-    bringUp();
-    openLink();
-    clearCommands();
-  }
-
+struct Fixture : ConnectedRunner {
   /// Leaves the start call and its repetitions without an answer.
   void leaveStartUnanswered(const RunName &Run) {
     while (commands<CallStop>().empty())
