--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -109,8 +109,8 @@
 
 std::string text(const ConfigurationChange &) { return "configuration"; }
 
-/// A fault of an empty kind at a random time of the fault phase.
-Fault randomTimes(RandomSource &Random, const SoakSettings &Settings) {
+/// Returns a fault whose kind is still to be set.
+Fault faultAtRandomTime(RandomSource &Random, const SoakSettings &Settings) {
   const auto SpanMs = static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(Settings.m_FaultPhase).count());
   Fault Generated;
@@ -128,14 +128,14 @@
                                                 Settings.m_FaultInterval);
   std::vector<Fault> Plan;
   for (std::uint32_t Number = 0; Number < Count; ++Number) {
-    Fault Generated = randomTimes(Random, Settings);
+    Fault Generated = faultAtRandomTime(Random, Settings);
     Generated.m_Kind = randomKind(Random, Settings);
     Plan.push_back(Generated);
   }
   // Drawn after all others, which stay as they are for a seed.
   for (std::uint32_t Number = 0; Number < Count / FaultsPerHostReset;
        ++Number) {
-    Fault Generated = randomTimes(Random, Settings);
+    Fault Generated = faultAtRandomTime(Random, Settings);
     Generated.m_Kind =
         HostResets{Random.below(Settings.m_Entries), HostResetSharePercent};
     Plan.push_back(Generated);
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -185,29 +185,30 @@
   }
 
   void begin(const HostResets &Kind, Duration FaultDuration) {
-    const TimePoint Now = RuntimeClock::now();
-    m_Disruptions.begin(m_Deployment.entries()[Kind.m_Entry]->name(), Now,
-                        false);
-    resetConnections(Kind, Now + FaultDuration);
+    resetConnections(Kind, RuntimeClock::now() + FaultDuration);
   }
 
   void resetConnections(const HostResets &Kind, TimePoint End) {
-    const TimePoint Now = RuntimeClock::now();
-    if (Now >= End)
-      return m_Disruptions.endOne(m_Deployment.entries()[Kind.m_Entry]->name(),
-                                  Now);
+    if (RuntimeClock::now() >= End)
+      return;
     for (std::uint32_t A = 0; A < m_Settings.m_Endpoints; ++A)
       if (m_ResetRandom.below(100) < Kind.m_SharePercent)
         begin(LinkFault{A, Kind.m_Entry, R"({"mode":"reset"})"},
               LinkResetDuration);
     runAfter(m_Io, milliseconds(m_ResetRandom.below(MaxCallerResetDelayMs)),
-             [this, Kind] {
-               m_Callers.resetConnections(Kind.m_Entry, Kind.m_SharePercent);
-             });
+             [this, Kind] { resetCallers(Kind); });
     runAfter(m_Io, HostResetInterval,
              [this, Kind, End] { resetConnections(Kind, End); });
   }
 
+  void resetCallers(const HostResets &Kind) {
+    const std::string &Entry = m_Deployment.entries()[Kind.m_Entry]->name();
+    const TimePoint Now = RuntimeClock::now();
+    m_Disruptions.begin(Entry, Now, false);
+    m_Disruptions.endOne(Entry, Now);
+    m_Callers.resetConnections(Kind.m_Entry, Kind.m_SharePercent);
+  }
+
   void begin(const StoreFault &Kind, Duration FaultDuration) {
     const auto ForEachStore =
         [this, Kind](const std::function<void(std::string)> &Do) {
