Keep the runs of a restarted agent until it has cleared, however often it connects

Cause, from its logs: agent-1 was killed at 54.6 s and started again at 55.095; its hello made the entry wait until the runs of the process before had ended. The link was reset at 55.108, and the second hello of the new process came at 55.168. The entry now knew the incarnation, so it reconciled: the new process holds nothing, all 10 runs counted as lost (run-not-done end=lost) and were started again elsewhere. The agent saw its endpoint only at 55.585 (endpoint-announced), found the first run still there and stopped it.

Ruled out: the leases (they would have ended later; no runs-settled line); a stop that was lost (the job was not answered).

Change: while an agent has yet to clear, a hello settles nothing; the report that its endpoint takes runs does, or the end of all leases, as before.

Test: ARestartedAgentThatConnectsAgainHasNotClearedYet failed before the change, for a second hello that names this entry process and for one that names none.

--- a/src/jobs/JobReconcile.cpp
+++ b/src/jobs/JobReconcile.cpp
@@ -57,10 +57,12 @@
 void JobCore::Impl::reconcile(RunnerIndex Index, const RunnerHello &Hello) {
   const Incarnation Before =
       std::exchange(m_Rows[Index].m_Incarnation, Hello.m_Incarnation);
-  if (Before != Hello.m_Incarnation) {
+  if (Before != Hello.m_Incarnation)
     m_Rows[Index].m_AwaitsEarlierRunsEnded = true;
+  // A restarted agent doesn't know the runs of its previous process, on however
+  // many links it says hello.
+  if (m_Rows[Index].m_AwaitsEarlierRunsEnded)
     return;
-  }
   if (Hello.m_Entry != m_Options.m_Incarnation)
     return endRunsAsLost(Index, "unknown-to-agent");
   for (const TaskEnded &Each : Hello.m_Ended)
--- a/tests/unit/JobCoreTest.cpp
+++ b/tests/unit/JobCoreTest.cpp
@@ -192,6 +192,32 @@
   BOOST_TEST(messagesTo<StartTask>(2).size() == 1U);
 }
 
+// Guards against tasks that are started again while a restarted agent has not
+// ended the runs of its previous process: its link was reset meanwhile, and the
+// second hello lists none of them.
+BOOST_AUTO_TEST_CASE(ARestartedAgentThatConnectsAgainHasNotClearedYet) {
+  for (const Incarnation KnownEntry : {Incarnation{}, Incarnation{70}}) {
+    JobHarness Harness;
+    Harness.connectAgent(1);
+    Harness.feed(Harness.offer(1, 1));
+    Harness.connectAgent(4);
+    Harness.feed(LinkClosed{LinkId{1}});
+    RunnerHello Restarted = Harness.hello(1, 10, Incarnation{2});
+    Restarted.m_Endpoint.m_State = EndpointState::Absent;
+    Harness.feed(RunnerConnected{LinkId{2}, Restarted});
+    Harness.feed(LinkClosed{LinkId{2}});
+    Restarted.m_Entry = KnownEntry;
+    Harness.feed(RunnerConnected{LinkId{3}, Restarted});
+    BOOST_TEST(Harness.runsAt(4).empty());
+    EndpointReport Cleared{Restarted.m_Endpoint, {}};
+    Cleared.m_Endpoint.m_State = EndpointState::Active;
+    Harness.feed(MessageReceived{LinkId{3}, Cleared});
+    BOOST_TEST(Harness.messagesTo<StartTask>(3).size() +
+                   Harness.runsAt(4).size() ==
+               1U);
+  }
+}
+
 // Guards against reusing a run number that another entry has used at an
 // endpoint.
 BOOST_AUTO_TEST_CASE(ASupersededRunIsNumberedPastOthers) {
