Extend no leases while an agent clears the runs of its earlier process

Cause: a restarted agent stops the runs that it finds at its endpoint, and its holds extended their leases meanwhile. The entry that had started them counts them as lost 1.73 s after its last lease to the earlier process. When orders are carried out seconds late, or stops get no answer, the runs could go on beyond that, beside their repetitions.

Ruled out: runs of the new process itself; it takes none before it has cleared.

Change: holds carry a lease only once the earlier runs have ended.

Test: RunsOfAnEarlierAgentProcessGetNoLease failed before the change (each of five holds carried a lease).

--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -144,8 +144,9 @@
   Call.m_Number = ++m_HoldNumber;
   Call.m_AcknowledgedEnds = m_ListedEnds;
   // An unresponsive endpoint gets no lease extension, so that its runs are sure
-  // to expire.
-  if (!m_Unresponsive && !m_Runs.empty())
+  // to expire; nor do the runs of an earlier agent process, whose entry counts
+  // them as lost after the leases of that process.
+  if (!m_Unresponsive && m_EarlierRunsEnded && !m_Runs.empty())
     Call.m_LeaseEnd = m_Clock.grant(m_Now);
   Call.m_Wait = m_Runs.empty() || m_Unresponsive || !m_EarlierRunsEnded
                     ? Duration{}
--- a/tests/unit/RunnerEndpointTest.cpp
+++ b/tests/unit/RunnerEndpointTest.cpp
@@ -21,6 +21,25 @@
   BOOST_TEST(commands<CallStop>().size() == 1U);
 }
 
+// Guards against runs of an earlier agent process that outlive the time after
+// which their entry counts them as lost: stops may stay without effect for
+// seconds, so the leases must not be extended meanwhile.
+BOOST_AUTO_TEST_CASE(RunsOfAnEarlierAgentProcessGetNoLease) {
+  feed(heartbeat(1000, 1));
+  for (int Round = 0; Round < 5; ++Round) {
+    HoldAnswered Answer;
+    Answer.m_Call = commands<CallHold>().back().m_Number;
+    Answer.m_StartedAtMs = 1000;
+    Answer.m_Clock = 50000;
+    Answer.m_Running = {runNamed(0)};
+    feed(Answer);
+    advance(50ms);
+    feed(Tick{});
+  }
+  for (const CallHold &Each : commands<CallHold>())
+    BOOST_TEST(!Each.m_LeaseEnd.has_value());
+}
+
 // Guards against waiting for leases to expire when a refused connection shows
 // that the endpoint has crashed.
 BOOST_AUTO_TEST_CASE(ARefusedConnectionLosesAllRunsAtOnce) {
