--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,6 +23,12 @@
         await client.call(deployment.entries[1], "POST", name, body, wait_ms=9000)
 
 
+async def restart_entry(deployment):
+    await asyncio.sleep(RESTART_S)
+    await deployment.start_entry(0)
+    deployment.record.write("platform", "starts entry-1 again")
+
+
 async def kill_agents(deployment):
     for index in range(KILLED_AGENTS):
         deployment.processes[f"agent-{index + 1}"].kill()
@@ -45,10 +51,11 @@
         await asyncio.sleep(0.5)
         deployment.processes["entry-1"].kill()
         record.write("platform", "kills entry-1")
+        restarted = asyncio.create_task(restart_entry(deployment))
         if trouble:
             await asyncio.sleep(BETWEEN_S)
             await kill_agents(deployment)
-        await asyncio.gather(*jobs)
+        await asyncio.gather(restarted, *jobs)
     finally:
         await deployment.stop()
     return h.twice(deployment)
