--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -510,7 +510,7 @@
                 await process.wait()
         for worker in self.workers:
             worker.up = False
-            if worker.beats:
+            if worker.beats is not None:
                 worker.beats.cancel()
             worker.service.close()
         self.store.service.close()
