Equality of sizes has one definition

Comparing two sizes by holding each other stood in the router's table, the queue and the entry's agents. Size has operator== now.

--- a/src/core/Size.h
+++ b/src/core/Size.h
@@ -41,6 +41,11 @@
     return *this;
   }
 
+  friend bool operator==(const Size &A, const Size &B) {
+    return A.holds(B) && B.holds(A);
+  }
+  friend bool operator!=(const Size &A, const Size &B) { return !(A == B); }
+
   friend Size operator+(Size A, const Size &B) { return A += B; }
   friend Size operator-(Size A, const Size &B) { return A -= B; }
 
--- a/src/entry/EndpointTable.cpp
+++ b/src/entry/EndpointTable.cpp
@@ -32,8 +32,6 @@
   return Hash ^ (Hash >> 32);
 }
 
-bool equal(const Size &A, const Size &B) { return A.holds(B) && B.holds(A); }
-
 /// Removes the element at \p Index by moving the last element there. Returns
 /// the moved element.
 AgentIndex eraseAt(std::vector<AgentIndex> &List, std::size_t Index) {
@@ -95,7 +93,7 @@
     // than agents.
     if (Class->m_Members.empty())
       Class->m_Size = Hello.m_Size;
-    if (equal(Class->m_Size, Hello.m_Size))
+    if (Class->m_Size == Hello.m_Size)
       return *Class;
   }
   auto Class = std::make_unique<SizeClass>();
--- a/src/entry/EntryAgents.cpp
+++ b/src/entry/EntryAgents.cpp
@@ -11,9 +11,7 @@
 
 /// True when the router must treat the agent as a new one.
 bool routeChanged(const AgentHello &Old, const AgentHello &New) {
-  const bool SameSize =
-      Old.m_Size.holds(New.m_Size) && New.m_Size.holds(Old.m_Size);
-  return !SameSize || Old.m_Service != New.m_Service ||
+  return Old.m_Size != New.m_Size || Old.m_Service != New.m_Service ||
          Old.m_FailureDomain != New.m_FailureDomain ||
          Old.m_Rack != New.m_Rack ||
          Old.m_EndpointAddress != New.m_EndpointAddress ||
--- a/src/entry/ServiceQueue.cpp
+++ b/src/entry/ServiceQueue.cpp
@@ -11,8 +11,6 @@
 /// lanes.
 constexpr std::size_t MaxLanes = 32;
 
-bool sameSize(const Size &A, const Size &B) { return A.holds(B) && B.holds(A); }
-
 } // namespace
 
 void ServiceQueue::add(SubmissionIndex Index) {
@@ -93,7 +91,7 @@
     // No later event unblocks a lane that became empty while it was blocked.
     if (Each.empty())
       Each.m_Blocked = false;
-    if (sameSize(Each.m_Need, Need))
+    if (Each.m_Need == Need)
       return static_cast<std::uint32_t>(Index);
     if (Each.empty())
       Unused = Index;
