A start is executed by the endpoint that it was placed on, or not at all

While an entry is frozen, an idle endpoint is replaced by one without the label that the jobs require. The entry wakes, sends tasks there before it has read the report, and the new endpoint runs them.

Cause: a start named its task but not the endpoint that the entry had chosen. The agent checked only that the endpoint that it has now is active and has capacity. A start that is on its way meets the same without a freeze, as the new test shows.

Ruled out by logs and record: the agent's queue (5 ms; it had the new endpoint for 150 ms), a call that reached another process (another id is refused with 421), an entry that ignores labels (holds without the freeze).

Change: an agent numbers its endpoints. The number grows with another process, or other labels, service or failure domain of the same one; the view carries it, a start names it, and the agent refuses another one as not run (other-endpoint). The report goes ahead of the refusals, so the entry decides again on the new view and doesn't avoid the agent. Runs that wait for capacity are refused when the number grows. Link protocol version 3; a run agent's hello of another version is now refused with both versions, like the other hellos.

The tests of the two cores name the new fields and could not be compiled before.

Conclusion: what an entry decides on a view holds for that view only, and the agent is the place that can tell.

--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -18,7 +18,7 @@
 namespace cyclamencroft {
 
 /// Version of the link protocol; a peer with another version is rejected.
-constexpr std::uint32_t ProtocolVersion = 2;
+constexpr std::uint32_t ProtocolVersion = 3;
 
 /// Whether an agent accepts new work.
 enum class AgentState : std::uint8_t { Active = 0, Draining = 1 };
@@ -219,6 +219,8 @@
 /// Request to an agent to start a run.
 struct StartTask {
   RunName m_Run;
+  /// The endpoint that the entry has chosen; no other one may execute the run.
+  EndpointGeneration m_Endpoint{};
   Size m_Need;
   /// As in EntryLease; a start extends the lease as well.
   TimePoint m_SentAt{};
--- a/src/core/Runs.cpp
+++ b/src/core/Runs.cpp
@@ -25,6 +25,10 @@
          std::to_string(Run.m_Number);
 }
 
+std::string describe(EndpointGeneration Generation) {
+  return std::to_string(static_cast<std::uint64_t>(Generation));
+}
+
 std::string_view toString(RunEnd End) {
   switch (End) {
   case RunEnd::Done:
@@ -63,6 +67,8 @@
     return "invalid";
   case StartRefusal::Cancelled:
     return "cancelled";
+  case StartRefusal::OtherEndpoint:
+    return "other-endpoint";
   }
   return "invalid";
 }
--- a/src/core/Runs.h
+++ b/src/core/Runs.h
@@ -64,14 +64,15 @@
 /// Why a run was not started; None for runs that were.
 enum class StartRefusal : std::uint8_t {
   None = 0,
-  NoCapacity = 1, ///< Other runs have reserved the resources.
-  Draining = 2,   ///< Agent or endpoint is draining.
-  NoEndpoint = 3, ///< No endpoint is known, or it can't be reached.
-  Late = 4,       ///< The call was in transit for too long.
-  Unhealthy = 5,  ///< The endpoint currently refuses work.
-  Superseded = 6, ///< The endpoint has received a later run of the task.
-  Invalid = 7,    ///< The endpoint can't parse the call.
-  Cancelled = 8,  ///< The entry cancelled it, or its lease expired.
+  NoCapacity = 1,    ///< Other runs have reserved the resources.
+  Draining = 2,      ///< Agent or endpoint is draining.
+  NoEndpoint = 3,    ///< No endpoint is known, or it can't be reached.
+  Late = 4,          ///< The call was in transit for too long.
+  Unhealthy = 5,     ///< The endpoint currently refuses work.
+  Superseded = 6,    ///< The endpoint has received a later run of the task.
+  Invalid = 7,       ///< The endpoint can't parse the call.
+  Cancelled = 8,     ///< The entry cancelled it, or its lease expired.
+  OtherEndpoint = 9, ///< Another endpoint replaced the one it was placed on.
 };
 
 std::string_view toString(RunEnd End);
@@ -87,8 +88,17 @@
 
 std::string_view toString(EndpointState State);
 
+/// Numbers the endpoints that one agent process has had, from 1. It grows when
+/// the endpoint is another process or offers another service, other labels or
+/// another failure domain.
+enum class EndpointGeneration : std::uint64_t {};
+
+std::string describe(EndpointGeneration Generation);
+
 /// Properties and state of an endpoint, as its agent reports them.
 struct EndpointView {
+  /// A placement that was decided on this view holds for this generation only.
+  EndpointGeneration m_Generation{};
   std::string m_Id;
   std::string m_Service;
   std::string m_FailureDomain;
--- a/src/jobs/JobDispatch.cpp
+++ b/src/jobs/JobDispatch.cpp
@@ -162,8 +162,9 @@
                                     Declared.m_Estimate.count());
   const Duration StartWithin =
       Job.m_OrderKey.m_Late ? Duration(-1) : Job.m_Times.m_LatestStart - m_Now;
-  send(Row, StartTask{Run, Declared.m_Need, m_Now, StartWithin,
-                      Declared.m_Estimate, Job.m_Declaration.m_Specification});
+  send(Row, StartTask{Run, Row.m_Endpoint.m_Generation, Declared.m_Need, m_Now,
+                      StartWithin, Declared.m_Estimate,
+                      Job.m_Declaration.m_Specification});
 }
 
 void JobCore::Impl::armTimer(JobIndex Index) {
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -83,9 +83,11 @@
 void JobCore::Impl::updateEndpoint(RunnerIndex Index,
                                    const EndpointView &Endpoint) {
   RunnerRow &Row = m_Rows[Index];
-  if (Row.m_Endpoint.m_State != Endpoint.m_State)
+  if (Row.m_Endpoint.m_State != Endpoint.m_State ||
+      Row.m_Endpoint.m_Generation != Endpoint.m_Generation)
     log("endpoint-state", {{"agent", Row.m_AgentId},
                            {"endpoint", Endpoint.m_Id},
+                           {"generation", describe(Endpoint.m_Generation)},
                            {"state", std::string(toString(Endpoint.m_State))}});
   Row.m_Endpoint = Endpoint;
   const bool EarlierRunsEnded = Endpoint.m_State == EndpointState::Active ||
--- a/src/jobs/JobRuns.cpp
+++ b/src/jobs/JobRuns.cpp
@@ -59,7 +59,9 @@
     ++m_Counters.m_Refusals;
     if (Ended.m_Refusal == StartRefusal::Superseded)
       Task.m_LastRun += RunNumberStep;
-    if (!LostRace)
+    // After OtherEndpoint, the agent has another endpoint than the refusing
+    // one.
+    if (!LostRace && Ended.m_Refusal != StartRefusal::OtherEndpoint)
       Task.m_Avoid = From;
     break;
   }
--- a/src/link/LinkCodec.cpp
+++ b/src/link/LinkCodec.cpp
@@ -41,7 +41,7 @@
 
 template <> constexpr RunEnd LastValue<RunEnd> = RunEnd::NotStarted;
 template <>
-constexpr StartRefusal LastValue<StartRefusal> = StartRefusal::Cancelled;
+constexpr StartRefusal LastValue<StartRefusal> = StartRefusal::OtherEndpoint;
 template <>
 constexpr EndpointState LastValue<EndpointState> = EndpointState::Draining;
 
@@ -161,7 +161,8 @@
   /// checked before them.
   template <class M> bool expectProtocol(const M &) {
     if constexpr (std::is_same_v<M, AgentHello> ||
-                  std::is_same_v<M, EntryHello>) {
+                  std::is_same_v<M, EntryHello> ||
+                  std::is_same_v<M, RunnerHello>) {
       if (m_Next == m_Tokens.size() ||
           m_Tokens[m_Next].m_Kind != CborToken::Kind::Unsigned ||
           m_Tokens[m_Next].m_Number == ProtocolVersion)
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -134,6 +134,7 @@
   }
   template <class M> void visit(M &Message, StartTask *) const {
     m_Visit("run", Message.m_Run);
+    m_Visit("endpoint generation", Message.m_Endpoint);
     m_Visit("need", Message.m_Need);
     m_Visit("sent at", Message.m_SentAt);
     m_Visit("start within", Message.m_StartWithin);
@@ -171,6 +172,7 @@
     m_Visit("number", Message.m_Number);
   }
   template <class M> void visit(M &Message, EndpointView *) const {
+    m_Visit("generation", Message.m_Generation);
     m_Visit("id", Message.m_Id);
     m_Visit("service", Message.m_Service);
     m_Visit("failure domain", Message.m_FailureDomain);
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -134,6 +134,8 @@
   void applyRunLists(const HoldAnswered &Event, TimePoint AskedAt);
   void handleListedRun(const RunName &Name);
   EndpointState offeredState() const;
+  /// The view that entries get.
+  EndpointView offeredView() const;
   EndpointCall callTarget() const;
   RunProgress progressOf(const Run &Ongoing) const;
   EndpointLoad load(const EntryLink &Receiver) const;
@@ -148,7 +150,11 @@
   std::uint64_t m_HeartbeatSequence = 0;
   TimePoint m_HeartbeatAt{};
   std::string m_Address;
+  /// As the endpoint announced it; entries get offeredView().
   EndpointView m_View;
+  /// Invariant: a run is started only if its entry has placed it on the
+  /// endpoint of this generation.
+  EndpointGeneration m_Generation{};
   EndpointLeaseClock m_Clock;
   EndpointMeter m_Meter;
   /// The endpoint has announced its shutdown.
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -35,6 +35,13 @@
 /// a higher token.
 constexpr std::uint64_t TokenStep = 1'000'000;
 
+/// Whether entries may place the same runs on both endpoints, as far as their
+/// capacity allows.
+bool offersSame(const EndpointView &A, const EndpointView &B) {
+  return A.m_Service == B.m_Service && A.m_Labels == B.m_Labels &&
+         A.m_FailureDomain == B.m_FailureDomain;
+}
+
 } // namespace
 
 void RunnerCore::Impl::onEvent(const EndpointHeartbeat &Event) {
@@ -45,10 +52,15 @@
          {"known-sequence", std::to_string(m_HeartbeatSequence)}});
     return;
   }
-  if (Event.m_EndpointIncarnation != m_EndpointIncarnation)
+  const bool Replaced = Event.m_EndpointIncarnation != m_EndpointIncarnation;
+  const bool NewGeneration = Replaced || !offersSame(m_View, Event.m_View);
+  const bool Changed =
+      NewGeneration || Event.m_View.m_Capacity != m_View.m_Capacity;
+  if (NewGeneration)
+    m_Generation =
+        EndpointGeneration{static_cast<std::uint64_t>(m_Generation) + 1};
+  if (Replaced)
     adoptIncarnation(Event);
-  const bool Changed = !m_View.m_Capacity.holds(Event.m_View.m_Capacity) ||
-                       !Event.m_View.m_Capacity.holds(m_View.m_Capacity);
   m_HeartbeatSequence = Event.m_Sequence;
   m_HeartbeatAt = m_Now;
   m_Address = Event.m_Address;
@@ -57,6 +69,10 @@
   m_Clock.observe(m_Now, Event.m_Clock);
   if (Changed)
     reportEndpoint();
+  // After the report, so that entries don't place these runs here again.
+  if (NewGeneration)
+    refuseWaiting([](const WaitingRun &) { return true; },
+                  StartRefusal::OtherEndpoint);
 }
 
 bool RunnerCore::Impl::isNewer(const EndpointHeartbeat &Event) const {
@@ -73,6 +89,7 @@
       {{"endpoint", Event.m_EndpointIncarnation.m_Id},
        {"born-at-ms",
         std::to_string(Event.m_EndpointIncarnation.m_StartedAtMs)},
+       {"generation", describe(m_Generation)},
        {"service", Event.m_View.m_Service},
        {"milli-cores", std::to_string(Event.m_View.m_Capacity.m_MilliCores)}});
   m_EndpointIncarnation = Event.m_EndpointIncarnation;
@@ -241,6 +258,13 @@
                                               : EndpointState::Active;
 }
 
+EndpointView RunnerCore::Impl::offeredView() const {
+  EndpointView View = m_View;
+  View.m_Generation = m_Generation;
+  View.m_State = offeredState();
+  return View;
+}
+
 EndpointCall RunnerCore::Impl::callTarget() const {
   return {m_Address, m_EndpointIncarnation.m_Id, m_Options.m_FencingToken};
 }
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -54,8 +54,7 @@
     Hello.m_Ended.push_back(Each.m_End);
     Each.m_Reported = true;
   }
-  Hello.m_Endpoint = m_View;
-  Hello.m_Endpoint.m_State = offeredState();
+  Hello.m_Endpoint = offeredView();
   Hello.m_Load = load(Link);
   Link.m_RequestSentAt = m_Now;
   send(Link, std::move(Hello));
@@ -221,9 +220,8 @@
 }
 
 void RunnerCore::Impl::reportEndpoint() {
-  m_ReportedState = offeredState();
-  EndpointView View = m_View;
-  View.m_State = m_ReportedState;
+  const EndpointView View = offeredView();
+  m_ReportedState = View.m_State;
   for (auto &[Address, Link] : m_Links)
     if (Link.m_Link)
       send(Link, EndpointReport{View, load(Link)});
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -51,6 +51,9 @@
   case EndpointState::Active:
     break;
   }
+  // The endpoint may have been replaced while the start was on its way.
+  if (Message.m_Endpoint != m_Generation)
+    return StartRefusal::OtherEndpoint;
   if (Delay > MaxStartDelay)
     return StartRefusal::Late;
   // Another run of the task may belong to an entry that has lost the connection
@@ -79,6 +82,7 @@
     log("run-refused", {{"run", describe(Name)},
                         {"entry", Link.m_EntryId},
                         {"reason", std::string(toString(Reason))},
+                        {"generation", describe(m_Generation)},
                         {"reserved", std::to_string(m_Reserved.m_MilliCores)},
                         {"runs", std::to_string(m_Runs.size())}});
   reportRunEnd(Link,
--- a/tests/unit/FleetLoadTest.cpp
+++ b/tests/unit/FleetLoadTest.cpp
@@ -23,8 +23,8 @@
 constexpr std::uint32_t Other = 1;
 
 void play(FleetModel &Fleet, const Load &Offered, Duration Time) {
-  const FleetModel::Job Check{8, 5, 60ms, Urgent};
-  const FleetModel::Job Closure{2, 5, 200ms, Other};
+  const FleetModel::Job Check{8, 5, 60ms, Urgent, {}};
+  const FleetModel::Job Closure{2, 5, 200ms, Other, {}};
   std::mt19937 Random(1);
   std::poisson_distribution<int> Checks(Offered.m_ChecksPerSecond / 1000);
   std::poisson_distribution<int> Closures(Offered.m_ClosuresPerSecond / 1000);
--- a/tests/unit/FleetModel.cpp
+++ b/tests/unit/FleetModel.cpp
@@ -3,12 +3,13 @@
 
 #include "jobs/JobOrder.h"
 
+#include <utility>
+
 namespace cyclamencroft {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr Duration MessageDelay = 1ms;
 constexpr Duration CallTime = 1ms;
 constexpr Duration CallerTimeout = 2s;
 
@@ -61,13 +62,15 @@
   Step.m_Count = Offered.m_Tasks;
   Step.m_Need = {wholeCores(Offered.m_CoresPerTask), 1, 0};
   Step.m_Estimate = Offered.m_RunTime;
+  Step.m_RequiredLabel = Offered.m_RequiredLabel;
   Event.m_Job.m_Steps = {Step};
   Event.m_Queue = makeQueue(Offered.m_Priority);
   Event.m_CallerTimeout = CallerTimeout;
   const QueuePolicy &Policy = Event.m_Queue->m_Policy;
   m_Pending[Id] = {
       Offered.m_Priority, Offered.m_RunTime,
-      timesOf(m_Now, Offered.m_RunTime, Policy, CallerTimeout, {}).m_Objective};
+      timesOf(m_Now, Offered.m_RunTime, Policy, CallerTimeout, {}).m_Objective,
+      Offered.m_RequiredLabel};
   ++m_Outcomes[Offered.m_Priority].m_Offered;
   feedEntry(Entry, Event);
 }
@@ -77,6 +80,13 @@
     step();
 }
 
+void FleetModel::replaceEndpoint(std::size_t Index,
+                                 std::vector<std::string> Labels) {
+  ModelEndpoint &Endpoint = m_Agents[Index].m_Endpoint;
+  Endpoint.replace(std::move(Labels));
+  feedAgent(Index, Endpoint.heartbeat(m_Now));
+}
+
 void FleetModel::step() {
   while (!m_Scheduled.empty() && m_Scheduled.begin()->first <= m_Now) {
     const auto Action = m_Scheduled.begin()->second;
@@ -116,7 +126,7 @@
   if (const auto *Answer = std::get_if<JobAnswer>(&Command))
     recordAnswer(*Answer);
   if (const auto *Sent = std::get_if<SendMessage>(&Command))
-    after(MessageDelay, [this, Entry, Sent = *Sent] {
+    after(m_MessageDelay, [this, Entry, Sent = *Sent] {
       feedAgent(peerOf(Sent.m_Link),
                 MessageReceived{linkTo(Entry), Sent.m_Message});
     });
@@ -126,13 +136,11 @@
   ModelEndpoint &Endpoint = m_Agents[Index].m_Endpoint;
   const EndpointMs Clock = ModelEndpoint::clock(m_Now);
   if (const auto *Sent = std::get_if<SendMessage>(&Command))
-    after(MessageDelay, [this, Index, Sent = *Sent] {
+    after(m_MessageDelay, [this, Index, Sent = *Sent] {
       receive(peerOf(Sent.m_Link), Index, Sent.m_Message);
     });
   if (const auto *Start = std::get_if<CallStart>(&Command)) {
-    const auto Known = m_Pending.find(Start->m_Run.m_Task.m_Job);
-    if (Known != m_Pending.end())
-      Endpoint.start(*Start, m_Now + Known->second.m_RunTime);
+    execute(Index, *Start);
     after(CallTime, [this, Index, Run = Start->m_Run, Clock] {
       feedAgent(Index, StartAnswered{Run, CallFault::None, StartResult::Started,
                                      Clock});
@@ -148,6 +156,17 @@
     Endpoint.hold(*Hold, m_Now);
 }
 
+void FleetModel::execute(std::size_t Index, const CallStart &Start) {
+  const auto Known = m_Pending.find(Start.m_Run.m_Task.m_Job);
+  if (Known == m_Pending.end())
+    return;
+  const PendingJob &Job = Known->second;
+  ModelEndpoint &Endpoint = m_Agents[Index].m_Endpoint;
+  if (!Job.m_RequiredLabel.empty() && !Endpoint.hasLabel(Job.m_RequiredLabel))
+    ++m_MisroutedStarts;
+  Endpoint.start(Start, m_Now + Job.m_RunTime);
+}
+
 void FleetModel::receive(std::size_t Entry, std::size_t From,
                          const LinkMessage &Message) {
   if (const auto *Hello = std::get_if<RunnerHello>(&Message))
--- a/tests/unit/FleetModel.h
+++ b/tests/unit/FleetModel.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace cyclamencroft {
@@ -26,11 +27,23 @@
     std::uint32_t m_CoresPerTask = 1;
     Duration m_RunTime{};
     std::uint32_t m_Priority = 0;
+    /// Empty when every endpoint may run the tasks.
+    std::string m_RequiredLabel;
   };
   void offer(std::size_t Entry, const Job &Offered);
 
   void runFor(Duration Time);
 
+  /// Another endpoint with \p Labels announces itself to an agent, in place of
+  /// the one that the agent had.
+  void replaceEndpoint(std::size_t Index, std::vector<std::string> Labels);
+
+  /// Time that messages sent from now on take.
+  void setMessageDelay(Duration Delay) { m_MessageDelay = Delay; }
+
+  /// Starts that were executed by an endpoint without the required label.
+  std::uint64_t misroutedStarts() const { return m_MisroutedStarts; }
+
   /// Answers to the jobs of one priority. A job is on time when it is completed
   /// within its objective.
   struct Outcomes {
@@ -53,24 +66,28 @@
     std::uint32_t m_Priority = 0;
     Duration m_RunTime{};
     TimePoint m_ObjectiveAt{};
+    std::string m_RequiredLabel;
   };
 
   void feedEntry(std::size_t Entry, const JobEvent &Event);
   void feedAgent(std::size_t Index, const RunnerEvent &Event);
   void carryOut(std::size_t Entry, const JobCommand &Command);
   void carryOut(std::size_t Index, const RunnerCommand &Command);
+  void execute(std::size_t Index, const CallStart &Start);
   void receive(std::size_t Entry, std::size_t From, const LinkMessage &Message);
   void recordAnswer(const JobAnswer &Answer);
   void after(Duration Delay, std::function<void()> Action);
   void step();
 
   TimePoint m_Now{std::chrono::hours(1)};
+  Duration m_MessageDelay{std::chrono::milliseconds(1)};
   std::vector<std::unique_ptr<JobCore>> m_Entries;
   std::vector<Agent> m_Agents;
   std::multimap<TimePoint, std::function<void()>> m_Scheduled;
   std::uint64_t m_Jobs = 0;
   std::map<JobId, PendingJob> m_Pending;
   std::map<std::uint32_t, Outcomes> m_Outcomes;
+  std::uint64_t m_MisroutedStarts = 0;
 };
 
 } // namespace cyclamencroft
--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -22,6 +22,24 @@
     BOOST_TEST(runsAt(Agent).size() == 5U);
 }
 
+// Guards against an agent that can't tell whether a start was placed on its
+// present endpoint, and against avoiding an agent whose endpoint is a new one.
+BOOST_AUTO_TEST_CASE(AStartNamesTheEndpointThatTheAgentReportedLast) {
+  RunnerHello Hello = hello(1, 10, Incarnation{1});
+  Hello.m_Endpoint.m_Generation = EndpointGeneration{3};
+  feed(RunnerConnected{LinkId{1}, Hello});
+  feed(offer(1, 1));
+  BOOST_REQUIRE(messagesTo<StartTask>(1).size() == 1U);
+  BOOST_TEST((messagesTo<StartTask>(1)[0].m_Endpoint == EndpointGeneration{3}));
+  EndpointReport Replaced{Hello.m_Endpoint, {}};
+  Replaced.m_Endpoint.m_Generation = EndpointGeneration{4};
+  feed(MessageReceived{LinkId{1}, Replaced});
+  clearCommands();
+  endRun(1, runsAt(1)[0], RunEnd::NotStarted, StartRefusal::OtherEndpoint);
+  BOOST_REQUIRE(messagesTo<StartTask>(1).size() == 1U);
+  BOOST_TEST((messagesTo<StartTask>(1)[0].m_Endpoint == EndpointGeneration{4}));
+}
+
 // Guards against starts at an agent that does not answer: it gets no more
 // starts after 150 ms.
 BOOST_AUTO_TEST_CASE(AnAgentThatTakesNoStartsIsSuspected) {
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -33,9 +33,13 @@
   Hello.m_Size = {16, 32768, 1};
   Hello.m_State = AgentState::Draining;
   const RunName Run{{JobId{Large}, 3, 1999}, 7};
-  const EndpointView Endpoint{
-      "i-1",         "permits",          "quimper",
-      {"a", "r1-3"}, {64000, 131072, 2}, EndpointState::Draining};
+  const EndpointView Endpoint{EndpointGeneration{Large},
+                              "i-1",
+                              "permits",
+                              "quimper",
+                              {"a", "r1-3"},
+                              {64000, 131072, 2},
+                              EndpointState::Draining};
   const EndpointLoad Load{
       {6200, 64, 1}, {100, 1, 0}, 9, Large, {120, 30, Duration(1500000)}};
   const TaskEnded Ended{Run, RunEnd::NotStarted, StartRefusal::Invalid,
@@ -69,6 +73,7 @@
       EndpointReport{Endpoint, Load},
       LoadReport{Load},
       StartTask{Run,
+                EndpointGeneration{Large},
                 {6200, 64, 0},
                 TimePoint(Duration(5)),
                 Duration(-1),
@@ -165,6 +170,10 @@
              "decode frame: message 0 (EntryHello), protocol: version 7 is not "
              "supported; this process speaks version " +
                  std::to_string(ProtocolVersion));
+  constexpr std::size_t RunnerHelloType = 16;
+  BOOST_TEST(faultOf(cborOf({{RunnerHelloType, 7, "agent"}}))
+                 .find("(RunnerHello), protocol: version 7 is not supported") !=
+             std::string::npos);
 }
 
 // Guards against crashes and silent acceptance of structures that no message
--- a/tests/unit/ModelEndpoint.cpp
+++ b/tests/unit/ModelEndpoint.cpp
@@ -2,26 +2,38 @@
 #include "ModelEndpoint.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamencroft {
-namespace {
-
-constexpr std::uint64_t StartedAtMs = 1000;
-
-} // namespace
 
 EndpointHeartbeat ModelEndpoint::heartbeat(TimePoint Now) {
   EndpointHeartbeat Beat;
-  Beat.m_EndpointIncarnation = {"endpoint", StartedAtMs};
+  Beat.m_EndpointIncarnation = {"endpoint-" + std::to_string(m_StartedAtMs),
+                                m_StartedAtMs};
   Beat.m_Sequence = ++m_Heartbeats;
   Beat.m_Address = "127.0.0.1:9";
   Beat.m_Clock = clock(Now);
   Beat.m_View.m_Service = "desk";
+  Beat.m_View.m_Labels = m_Labels;
   Beat.m_View.m_Capacity = {wholeCores(m_Cores), 1000000, 0};
   Beat.m_View.m_State = EndpointState::Active;
   return Beat;
 }
 
+void ModelEndpoint::replace(std::vector<std::string> Labels) {
+  m_Labels = std::move(Labels);
+  ++m_StartedAtMs;
+  m_Heartbeats = 0;
+  m_Running.clear();
+  m_Ended.clear();
+  m_LastEnd = 0;
+  m_Hold.reset();
+}
+
+bool ModelEndpoint::hasLabel(const std::string &Label) const {
+  return std::find(m_Labels.begin(), m_Labels.end(), Label) != m_Labels.end();
+}
+
 void ModelEndpoint::start(const CallStart &Call, TimePoint EndsAt) {
   m_Running.emplace(Call.m_Run, EndsAt);
 }
@@ -52,7 +64,7 @@
     return std::nullopt;
   HoldAnswered Answer;
   Answer.m_Call = m_Hold->m_Number;
-  Answer.m_StartedAtMs = StartedAtMs;
+  Answer.m_StartedAtMs = m_StartedAtMs;
   Answer.m_Clock = clock(Now);
   for (const auto &[Run, EndsAt] : m_Running)
     Answer.m_Running.push_back(Run);
--- a/tests/unit/ModelEndpoint.h
+++ b/tests/unit/ModelEndpoint.h
@@ -1,11 +1,12 @@
-// Endpoint of the fleet model: executes runs for their true run times and
-// answers the calls of its agent.
+// Endpoint of the fleet model: executes runs for their true run times, answers
+// the calls of its agent, and can be replaced by an endpoint with other labels.
 #pragma once
 
 #include "runs/RunEvents.h"
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cyclamencroft {
@@ -15,6 +16,9 @@
   explicit ModelEndpoint(std::uint32_t Cores) : m_Cores(Cores) {}
 
   EndpointHeartbeat heartbeat(TimePoint Now);
+  /// Ends the process; the next heartbeat is that of another endpoint.
+  void replace(std::vector<std::string> Labels);
+  bool hasLabel(const std::string &Label) const;
 
   void start(const CallStart &Call, TimePoint EndsAt);
   void stop(const CallStop &Call);
@@ -33,6 +37,9 @@
   void end(const RunName &Run, RunEnd End);
 
   const std::uint32_t m_Cores;
+  std::vector<std::string> m_Labels;
+  /// Unix milliseconds of the start of the present process.
+  std::uint64_t m_StartedAtMs = 1000;
   std::uint64_t m_Heartbeats = 0;
   std::map<RunName, TimePoint> m_Running;
   std::vector<EndedRun> m_Ended;
--- a/tests/unit/RunnerEndpointTest.cpp
+++ b/tests/unit/RunnerEndpointTest.cpp
@@ -135,6 +135,59 @@
   BOOST_TEST(messages<TaskEnded>().size() == 1U);
 }
 
+// Guards against a run at an endpoint that its entry has not chosen and that
+// may lack the label, service or rack that the run needs.
+BOOST_AUTO_TEST_CASE(AStartPlacedOnTheEarlierEndpointIsRefused) {
+  bringUp(1000);
+  openLink();
+  const EndpointGeneration Earlier = generation();
+  bringUp(2000);
+  BOOST_TEST((core().status().m_Endpoint == EndpointState::Active));
+  clearCommands();
+  feed(MessageReceived{
+      Link,
+      StartTask{runNamed(0), Earlier, {1000, 1, 0}, now(), {}, {}, nullptr}});
+  BOOST_TEST((onlyEnd().m_End == RunEnd::NotStarted));
+  BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::OtherEndpoint));
+  BOOST_TEST(commands<CallStart>().empty());
+  startTask(runNamed(0, 2));
+  BOOST_TEST(commands<CallStart>().size() == 1U);
+}
+
+// Guards against entries that place runs by labels that the endpoint no longer
+// has, and against a run that waited for capacity while they changed.
+BOOST_AUTO_TEST_CASE(OtherLabelsMakeAnotherGeneration) {
+  bringUp(1000);
+  openLink();
+  startAndAnswer(runNamed(0), 10);
+  startTask(runNamed(1));
+  clearCommands();
+  const EndpointGeneration Earlier = generation();
+  EndpointHeartbeat Changed = heartbeat(1000, 2);
+  Changed.m_View.m_Labels = {"large"};
+  feed(Changed);
+  BOOST_TEST((generation() != Earlier));
+  BOOST_TEST((onlyEnd().m_Run == runNamed(1)));
+  BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::OtherEndpoint));
+  // The report comes first, so that the entry does not place the run here
+  // again.
+  const auto Sent = commands<SendMessage>();
+  BOOST_TEST(std::holds_alternative<EndpointReport>(Sent.front().m_Message));
+}
+
+// Guards against refusing starts after each heartbeat.
+BOOST_AUTO_TEST_CASE(AHeartbeatOfTheSameEndpointKeepsItsGeneration) {
+  bringUp(1000);
+  openLink();
+  clearCommands();
+  const EndpointGeneration Before = generation();
+  feed(heartbeat(1000, 2));
+  BOOST_TEST(messages<EndpointReport>().empty());
+  startTask(runNamed(0));
+  BOOST_TEST((generation() == Before));
+  BOOST_TEST(commands<CallStart>().size() == 1U);
+}
+
 // Guards against a heartbeat that a network partition delayed until its sender
 // had ended.
 BOOST_AUTO_TEST_CASE(ADelayedHeartbeatOfAnEarlierIncarnationIsIgnored) {
--- a/tests/unit/RunnerHarness.cpp
+++ b/tests/unit/RunnerHarness.cpp
@@ -26,8 +26,19 @@
   const std::size_t Before = m_Commands.size();
   m_Core.handle(m_Now, Event, m_Commands);
   for (std::size_t Index = Before; Index < m_Commands.size(); ++Index)
-    if (const auto *Hold = std::get_if<CallHold>(&m_Commands[Index]))
-      m_LatestHold = Hold->m_Number;
+    record(m_Commands[Index]);
+}
+
+void RunnerHarness::record(const RunnerCommand &Command) {
+  if (const auto *Hold = std::get_if<CallHold>(&Command))
+    m_LatestHold = Hold->m_Number;
+  const auto *Sent = std::get_if<SendMessage>(&Command);
+  if (!Sent)
+    return;
+  if (const auto *Hello = std::get_if<RunnerHello>(&Sent->m_Message))
+    m_Generation = Hello->m_Endpoint.m_Generation;
+  if (const auto *Report = std::get_if<EndpointReport>(&Sent->m_Message))
+    m_Generation = Report->m_Endpoint.m_Generation;
 }
 
 void RunnerHarness::advance(Duration Step) { m_Now += Step; }
@@ -82,6 +93,7 @@
 
 void RunnerHarness::startTask(const RunName &Run, std::uint32_t Cores) {
   feed(MessageReceived{Link, StartTask{Run,
+                                       m_Generation,
                                        {wholeCores(Cores), 1, 0},
                                        m_Now,
                                        {},
--- a/tests/unit/RunnerHarness.h
+++ b/tests/unit/RunnerHarness.h
@@ -30,6 +30,8 @@
   /// Answers the agent's hello on an open link.
   void answerHello(LinkId Opened, Incarnation Id);
   void sendLease(LinkId From = Link);
+  /// Sends a start that was placed on the endpoint that the agent reported
+  /// last.
   void startTask(const RunName &Run, std::uint32_t Cores = 1);
   void answerStart(const RunName &Run,
                    StartResult Result = StartResult::Started);
@@ -61,15 +63,20 @@
   void clearCommands() { m_Commands.clear(); }
 
   TimePoint now() const { return m_Now; }
+  /// Generation of the endpoint that the agent reported last.
+  EndpointGeneration generation() const { return m_Generation; }
   RunnerCore &core() { return m_Core; }
 
 private:
+  void record(const RunnerCommand &Command);
+
   RunnerCore m_Core;
   TimePoint m_Now{std::chrono::hours(1)};
   std::vector<RunnerCommand> m_Commands;
   /// Number of the latest hold call; 0 for none.
   std::uint64_t m_LatestHold = 0;
   std::uint64_t m_StartedAtMs = 0;
+  EndpointGeneration m_Generation{};
 };
 
 /// Run \p Number of task \p Index of a job.
--- a/tests/unit/RunnerLinkTest.cpp
+++ b/tests/unit/RunnerLinkTest.cpp
@@ -47,7 +47,9 @@
   const TimePoint SentAt = now();
   advance(1s);
   feed(MessageReceived{
-      Link, StartTask{runNamed(0), {1000, 1, 0}, SentAt, {}, {}, nullptr}});
+      Link,
+      StartTask{
+          runNamed(0), generation(), {1000, 1, 0}, SentAt, {}, {}, nullptr}});
   BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
 }
 
@@ -64,9 +66,13 @@
   Hello.m_Incarnation = Entry;
   Hello.m_SentAt = SentAt;
   feed(MessageReceived{LinkId{8}, Hello});
-  feed(MessageReceived{
-      LinkId{8},
-      StartTask{runNamed(0), {1000, 1, 0}, SentAt + 50ms, {}, {}, nullptr}});
+  feed(MessageReceived{LinkId{8}, StartTask{runNamed(0),
+                                            generation(),
+                                            {1000, 1, 0},
+                                            SentAt + 50ms,
+                                            {},
+                                            {},
+                                            nullptr}});
   BOOST_TEST((onlyEnd().m_Refusal == StartRefusal::Late));
   // A quick answer to a ping makes the link usable.
   const auto Pings = messages<Ping>();
@@ -77,7 +83,8 @@
   sendLease(LinkId{8});
   feed(MessageReceived{
       LinkId{8},
-      StartTask{runNamed(0, 2), {1000, 1, 0}, now(), {}, {}, nullptr}});
+      StartTask{
+          runNamed(0, 2), generation(), {1000, 1, 0}, now(), {}, {}, nullptr}});
   BOOST_TEST(commands<CallStart>().size() == 1U);
 }
 
--- a/tests/unit/RunnerRunsTest.cpp
+++ b/tests/unit/RunnerRunsTest.cpp
@@ -74,6 +74,7 @@
   startAndAnswer(runNamed(0), 10);
   const auto Send = [this](std::uint32_t Index, Duration StartWithin) {
     feed(MessageReceived{Link, StartTask{runNamed(Index),
+                                         generation(),
                                          {wholeCores(1), 1, 0},
                                          now(),
                                          StartWithin,
