A smaller endpoint refuses the dispatches that were sent for the larger one

In the project's own agent a dispatch that was on its way, or waited for a slot, when the endpoint became smaller was started there, although its entry had chosen an endpoint large enough for the task.

Cause: a dispatch names neither endpoint nor size. The agent fenced what was on its way with a ping after a change of service only.

Change: the fence also goes up when the new endpoint doesn't hold the size of the one before. A larger one needs no fence.

Test: ASmallerEndpointRefusesEarlierDispatches failed before (the waiting task was started, no refusal, no ping).

--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -63,8 +63,7 @@
 }
 
 void AgentCore::Impl::onEvent(const EndpointAnnounced &Event) {
-  const std::string &Before = m_Lease.endpoint().m_Service;
-  m_ServiceChanged = !Before.empty() && Before != Event.m_Service;
+  m_EndpointChanged = !acceptsTasksOf(Event, m_Lease.endpoint());
   m_Lease.announce(m_Now, Event);
   m_Gate.setEndpoint(Event.m_Address, Event.m_Slots, Event.m_Connections);
 }
@@ -100,10 +99,10 @@
     reportChanges(Session);
   if (Closed != RefusalReason::None)
     refuseWaiting([](const WaitingTask &) { return true; }, Closed);
-  else if (m_ServiceChanged)
+  else if (m_EndpointChanged)
     refuseWaiting([](const WaitingTask &) { return true; },
                   RefusalReason::Draining);
-  m_ServiceChanged = false;
+  m_EndpointChanged = false;
   startWaiting();
   finishShutdown();
 }
--- a/src/agent/AgentCoreImpl.h
+++ b/src/agent/AgentCoreImpl.h
@@ -21,12 +21,20 @@
 /// two and a half heartbeat intervals: the entry is gone or unreachable
 /// although the connection is open.
 constexpr Duration SilenceLimit = std::chrono::seconds(50);
-/// Timeout for an entry to answer a hello or a service change.
+/// Timeout for an entry to answer a hello or a changed endpoint.
 constexpr Duration AnswerLimit = std::chrono::seconds(5);
 /// An entry treats the dispatches of a lost link as unknown after this time, so
 /// a shutdown need not wait longer for it to reconnect.
 constexpr Duration EntryGracePeriod = std::chrono::seconds(2);
 
+/// Whether every task that was dispatched for the endpoint \p Before may run at
+/// \p After. Both are announcements or both are hellos.
+template <class T> bool acceptsTasksOf(const T &After, const T &Before) {
+  const bool NotAnnounced = Before.m_Service.empty();
+  return NotAnnounced || (After.m_Service == Before.m_Service &&
+                          After.m_Size.holds(Before.m_Size));
+}
+
 class AgentCore::Impl {
 public:
   explicit Impl(AgentOptions Options);
@@ -130,9 +138,9 @@
 
   bool m_ShuttingDown = false;
   bool m_Drained = false;
-  /// The endpoint changed its service in the current call; waiting tasks were
-  /// dispatched for the earlier service.
-  bool m_ServiceChanged = false;
+  /// The endpoint changed in the current call so that waiting tasks, which were
+  /// dispatched before, may not run at it.
+  bool m_EndpointChanged = false;
   AgentState m_LoggedState = AgentState::Draining;
   std::uint64_t m_NextWindowId = 1;
   std::uint64_t m_NextRunId = 1;
--- a/src/agent/AgentLinks.cpp
+++ b/src/agent/AgentLinks.cpp
@@ -23,8 +23,7 @@
          Reported.m_Service != Current.m_Service ||
          Reported.m_EndpointAddress != Current.m_EndpointAddress ||
          Reported.m_Connections != Current.m_Connections ||
-         !Reported.m_Size.holds(Current.m_Size) ||
-         !Current.m_Size.holds(Reported.m_Size);
+         Reported.m_Size != Current.m_Size;
 }
 
 } // namespace
@@ -96,8 +95,8 @@
 }
 
 void AgentCore::Impl::onMessage(EntrySession &Session, const Pong &Message) {
-  if (Session.m_ServiceChangePing == Message.m_Number)
-    Session.m_ServiceChangePing.reset();
+  if (Session.m_EndpointChangePing == Message.m_Number)
+    Session.m_EndpointChangePing.reset();
 }
 
 void AgentCore::Impl::onMessage(EntrySession &Session, const Goodbye &Message) {
@@ -135,7 +134,7 @@
     Session.m_ReconcileDeadline = m_Now + EntryGracePeriod;
   Session.m_Link.reset();
   Session.m_HelloReceived = false;
-  Session.m_ServiceChangePing.reset();
+  Session.m_EndpointChangePing.reset();
   const std::uint64_t Window = Session.m_WindowId;
   for (const WaitingTask &Task : m_Waiting.take([Window](const WaitingTask &T) {
          return T.m_Key.m_WindowId == Window;
@@ -161,7 +160,7 @@
 
 TimePoint AgentCore::Impl::silenceDeadline(const EntrySession &Session) const {
   const bool AwaitsAnswer =
-      !Session.m_HelloReceived || Session.m_ServiceChangePing;
+      !Session.m_HelloReceived || Session.m_EndpointChangePing;
   return Session.m_LastReceived + (AwaitsAnswer ? AnswerLimit : SilenceLimit);
 }
 
@@ -196,12 +195,11 @@
   AgentHello Hello = makeHello(Session);
   AgentHello &Reported = Session.m_LastReported;
   if (needsHello(Reported, Hello)) {
-    const bool ServiceChanged =
-        !Reported.m_Service.empty() && Reported.m_Service != Hello.m_Service;
+    const bool Changed = !acceptsTasksOf(Hello, Reported);
     sendHello(Session, std::move(Hello));
-    if (ServiceChanged) {
-      Session.m_ServiceChangePing = m_NextPing++;
-      send(Session, Ping{*Session.m_ServiceChangePing});
+    if (Changed) {
+      Session.m_EndpointChangePing = m_NextPing++;
+      send(Session, Ping{*Session.m_EndpointChangePing});
     }
     return;
   }
--- a/src/agent/AgentTasks.cpp
+++ b/src/agent/AgentTasks.cpp
@@ -68,7 +68,7 @@
   if (const RefusalReason Closed = closedReason();
       Closed != RefusalReason::None)
     return Closed;
-  if (Session.m_ServiceChangePing)
+  if (Session.m_EndpointChangePing)
     return RefusalReason::Draining;
   if (Task.m_Deadline <= m_Now)
     return RefusalReason::DeadlinePassed;
--- a/src/agent/EntrySession.h
+++ b/src/agent/EntrySession.h
@@ -38,10 +38,10 @@
   /// State that was last reported to the entry: the last hello, updated by each
   /// status sent after it.
   AgentHello m_LastReported;
-  /// Number of the Ping sent after a change of service; empty when none is
-  /// pending. Dispatches received before its Pong were sent for the earlier
-  /// service and are refused.
-  std::optional<std::uint64_t> m_ServiceChangePing;
+  /// Number of the Ping sent after the endpoint changed its service or became
+  /// smaller; empty when none is pending. Dispatches received before its Pong
+  /// were sent for the earlier endpoint and are refused.
+  std::optional<std::uint64_t> m_EndpointChangePing;
   TimePoint m_LastSent{};
   TimePoint m_LastReceived{};
 };
--- a/tests/unit/AgentCoreFixture.h
+++ b/tests/unit/AgentCoreFixture.h
@@ -61,7 +61,7 @@
 
   void announce() {
     feed(EndpointAnnounced{m_Service, m_Address, m_Slots, m_Connections,
-                           Size{4, 4096, 0}});
+                           m_Size});
   }
   void receive(LinkMessage Message) {
     feed(MessageReceived{m_Link, std::move(Message)});
@@ -133,6 +133,7 @@
   std::string m_Address = "127.0.0.1:7000";
   std::uint32_t m_Slots = 2;
   std::uint32_t m_Connections = 4;
+  Size m_Size{4, 4096, 0};
   Sequence m_Floor = 1;
   Duration m_TimeLeft = 10 * Second;
   /// The entry's clock minus the agent's.
--- a/tests/unit/AgentLinksTest.cpp
+++ b/tests/unit/AgentLinksTest.cpp
@@ -242,6 +242,37 @@
   BOOST_TEST(commands<StartRun>().at(0).m_EndpointAddress == "127.0.0.1:7001");
 }
 
+// Guards against a task at an endpoint that is too small for it: its dispatch
+// was in transit, or waited for a slot, when the endpoint was replaced.
+BOOST_AUTO_TEST_CASE(ASmallerEndpointRefusesEarlierDispatches) {
+  connect();
+  allowQueue(1);
+  start(1);
+  start(2);
+  dispatch(3);
+  BOOST_TEST(starts() == 0U);
+  m_Size = {2, 4096, 0};
+  m_Address = "127.0.0.1:7001";
+  announce();
+  BOOST_TEST(refusal() == RefusalReason::Draining);
+  BOOST_TEST(starts() == 0U);
+  const std::uint64_t Number = sent<Ping>().at(0).m_Number;
+  dispatch(4);
+  BOOST_TEST(refusal() == RefusalReason::Draining);
+  receive(Pong{Number});
+  start(5);
+}
+
+// Guards against refusing work because the endpoint has grown.
+BOOST_AUTO_TEST_CASE(ALargerEndpointKeepsEarlierDispatches) {
+  connect();
+  m_Size = {8, 4096, 0};
+  announce();
+  BOOST_TEST((sent<AgentHello>().at(0).m_Size == m_Size));
+  BOOST_TEST(sent<Ping>().empty());
+  start(1);
+}
+
 // Guards against entries that use an outdated number of slots, and against
 // tasks at a replaced endpoint that count against the slots of the new one.
 BOOST_AUTO_TEST_CASE(ChangedEndpointIsReported) {
