Starts and stops reach only the process of an endpoint that they are for

An idle agent is frozen while its endpoint crashes and starts again under its id. The agent wakes and sends starts, which the new process accepts. The next hold shows another start time, the agent reports the runs as lost, and the entry starts the tasks elsewhere while they run: two runs at a time for 0.22 s.

Ruled out by the logs: the entry (it acts only on the agent's report), leases (none had run out).

Change: the pool of start and stop connections asks on each new connection, by a hold without lease and without acknowledged ends, which process has accepted it; a connection never moves to another process. A call that meets another process is not sent, and the agent counts the endpoint as lost with all its runs until the next heartbeat, as it did for holds. Connections are not shared by calls for different processes.

OnlyTheExpectedProcessPassesThePeerCheck is new with its function.

A heartbeat whose sender has given up is still dropped; until the next one, up to 1.5 s, the capacity of the restarted endpoint is not used.

--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -180,19 +180,23 @@
     HttpCall Call = platform::encodeStart(Command);
     Call.m_Timeout = StartTimeout;
     const TimePoint SentAt = RuntimeClock::now();
-    m_StartStopPool.call(std::move(Call), [this, SentAt, Run = Command.m_Run](
-                                              const HttpOutcome &Outcome) {
-      m_Metrics.observe("run_start", RuntimeClock::now() - SentAt);
-      m_Loop.feed(platform::readStart(Run, Outcome));
-    });
+    m_StartStopPool.call(
+        std::move(Call),
+        [this, SentAt, Run = Command.m_Run](const HttpOutcome &Outcome) {
+          m_Metrics.observe("run_start", RuntimeClock::now() - SentAt);
+          m_Loop.feed(platform::readStart(Run, Outcome));
+        },
+        platform::makePeerCheck(Command.m_Call));
   }
   void carryOut(const CallStop &Command) {
     HttpCall Call = platform::encodeStop(Command);
     Call.m_Timeout = StopTimeout;
-    m_StartStopPool.call(std::move(Call), [this, Run = Command.m_Run](
-                                              const HttpOutcome &Outcome) {
-      m_Loop.feed(platform::readStop(Run, Outcome));
-    });
+    m_StartStopPool.call(
+        std::move(Call),
+        [this, Run = Command.m_Run](const HttpOutcome &Outcome) {
+          m_Loop.feed(platform::readStop(Run, Outcome));
+        },
+        platform::makePeerCheck(Command.m_Call));
   }
   void carryOut(const CallHold &Command) {
     HttpCall Call = platform::encodeHold(Command);
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -23,13 +23,33 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using Callback = std::function<void(HttpOutcome)>;
+using PeerCheckPtr = std::shared_ptr<const PeerCheck>;
+
+/// Where the calls of a connection go.
+struct Destination {
+  std::string m_Address;
+  /// Empty when any process may answer.
+  std::string m_Identity;
+
+  friend bool operator==(const Destination &A, const Destination &B) {
+    return A.m_Address == B.m_Address && A.m_Identity == B.m_Identity;
+  }
+  friend bool operator!=(const Destination &A, const Destination &B) {
+    return !(A == B);
+  }
+};
 
 struct PendingCall {
   HttpCall m_Call;
   Callback m_Done;
+  PeerCheckPtr m_Expected;
   TimePoint m_Deadline{};
   /// Sent before on a connection that was lost.
   bool m_Resent = false;
+
+  Destination destination() const {
+    return {m_Call.m_Address, m_Expected ? m_Expected->m_Identity : ""};
+  }
 };
 
 /// One connection of the pool. A call that fails closes it.
@@ -38,12 +58,11 @@
   /// \p Release is called after each call; its flag tells whether the
   /// connection can be reused.
   Connection(
-      boost::asio::io_context &Io, std::string Address,
+      boost::asio::io_context &Io, Destination To,
       std::function<void(const std::shared_ptr<Connection> &, bool)> Release)
-      : m_Stream(Io), m_Address(std::move(Address)),
-        m_Release(std::move(Release)) {}
+      : m_Stream(Io), m_To(std::move(To)), m_Release(std::move(Release)) {}
 
-  const std::string &address() const { return m_Address; }
+  const Destination &destination() const { return m_To; }
 
   /// A call whose timeout has passed is not sent: the process may have been
   /// suspended, and what the call orders may no longer be wanted.
@@ -53,10 +72,9 @@
     if (Left <= Duration{})
       return finish(connectError("timed out before it was sent"));
     m_Stream.expires_after(Left);
-    prepareRequest();
     if (m_Open)
-      return write();
-    const auto Address = parseSocketAddress(m_Address);
+      return send(m_Call.m_Call);
+    const auto Address = parseSocketAddress(m_To.m_Address);
     if (!Address)
       return fail(connectError("the address is not IP:port"));
     m_Reused = false;
@@ -73,30 +91,28 @@
   }
 
 private:
-  void prepareRequest() {
-    m_Request = {};
-    m_Request.method_string(m_Call.m_Call.m_Method);
-    m_Request.target(m_Call.m_Call.m_Target);
-    m_Request.set(http::field::host, m_Address);
-    for (const auto &[Name, Value] : m_Call.m_Call.m_Headers)
-      m_Request.set(Name, Value);
-    m_Request.body() = m_Call.m_Call.m_Body;
-    m_Request.prepare_payload();
-  }
-
   void connected(error_code Fault) {
     if (Fault == boost::asio::error::connection_refused)
-      return fail(
-          {std::string(ConnectRefusedStep), m_Address, Fault.message()});
+      return fail(Error{std::string(ConnectRefusedStep), m_To.m_Address,
+                        Fault.message()});
     if (Fault)
       return fail(connectError(Fault.message()));
     error_code Ignored;
     m_Stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
     m_Open = true;
-    write();
+    m_AsksIdentity = m_Call.m_Expected != nullptr;
+    send(m_AsksIdentity ? m_Call.m_Expected->m_Question : m_Call.m_Call);
   }
 
-  void write() {
+  void send(const HttpCall &Sent) {
+    m_Request = {};
+    m_Request.method_string(Sent.m_Method);
+    m_Request.target(Sent.m_Target);
+    m_Request.set(http::field::host, m_To.m_Address);
+    for (const auto &[Name, Value] : Sent.m_Headers)
+      m_Request.set(Name, Value);
+    m_Request.body() = Sent.m_Body;
+    m_Request.prepare_payload();
     http::async_write(
         m_Stream, m_Request,
         [Self = shared_from_this()](error_code Fault, std::size_t) {
@@ -120,24 +136,36 @@
     if (Fault)
       return resendOrFail("read response", Fault);
     HttpResponse Response;
-    Response.m_Resent = m_Call.m_Resent;
     auto Message = m_Parser->release();
     Response.m_Status = Message.result_int();
     for (const auto &Field : Message)
       Response.m_Headers.emplace_back(Field.name_string(), Field.value());
     Response.m_Body = std::move(Message.body());
+    Response.m_Resent = m_Call.m_Resent;
     m_Open = Message.keep_alive();
+    if (std::exchange(m_AsksIdentity, false))
+      return identityAnswered(Response);
     m_Reused = true;
     m_Stream.expires_never();
     finish(std::move(Response));
   }
 
+  void identityAnswered(const HttpResponse &Response) {
+    if (auto Rejection = m_Call.m_Expected->m_Reject(Response))
+      return fail(std::move(*Rejection));
+    if (!m_Open)
+      return fail(connectError("closed after its identity was asked"));
+    send(m_Call.m_Call);
+  }
+
   /// The peer may have closed a keep-alive connection before it received the
   /// request, which is then sent again on a new connection. A timeout is final.
   void resendOrFail(const char *Step, error_code Fault) {
+    if (std::exchange(m_AsksIdentity, false))
+      return fail(connectError(Fault.message()));
     const bool Stale = m_Reused && Fault != boost::beast::error::timeout;
     if (!Stale)
-      return fail({Step, m_Address, Fault.message()});
+      return fail(Error{Step, m_To.m_Address, Fault.message()});
     m_Stream.close();
     m_Open = false;
     m_Buffer.clear();
@@ -150,13 +178,13 @@
   Error connectError(std::string Reason) const {
     const std::string_view Step =
         m_Call.m_Resent ? std::string_view("send request") : ConnectStep;
-    return {std::string(Step), m_Address, std::move(Reason)};
+    return {std::string(Step), m_To.m_Address, std::move(Reason)};
   }
 
-  void fail(Error Fault) {
+  void fail(HttpOutcome Outcome) {
     m_Stream.close();
     m_Open = false;
-    finish(std::move(Fault));
+    finish(std::move(Outcome));
   }
 
   void finish(HttpOutcome Outcome) {
@@ -168,10 +196,13 @@
   }
 
   boost::beast::tcp_stream m_Stream;
-  const std::string m_Address;
+  const Destination m_To;
   std::function<void(const std::shared_ptr<Connection> &, bool)> m_Release;
   PendingCall m_Call;
   bool m_Open = false;
+  /// The question for the peer's identity is in flight. Invariant: the call is
+  /// sent only on a connection whose peer has given the expected answer.
+  bool m_AsksIdentity = false;
   /// True once a call has been answered on the current TCP connection.
   bool m_Reused = false;
   http::request<http::string_body> m_Request;
@@ -186,24 +217,26 @@
   Impl(boost::asio::io_context &Io, std::size_t ConnectionLimit)
       : m_Io(Io), m_MaxConnections(ConnectionLimit) {}
 
-  void call(HttpCall Call, Callback Done) {
-    if (Call.m_Address != m_Address)
-      changeAddress(Call.m_Address);
+  void call(HttpCall Call, Callback Done, PeerCheckPtr Expected) {
     const TimePoint Deadline = RuntimeClock::now() + Call.m_Timeout;
-    m_Queue.push_back({std::move(Call), std::move(Done), Deadline});
+    PendingCall Added{std::move(Call), std::move(Done), std::move(Expected),
+                      Deadline};
+    if (Added.destination() != m_To)
+      changeDestination(Added.destination());
+    m_Queue.push_back(std::move(Added));
     boost::asio::post(m_Io, [Self = shared_from_this()] { Self->startNext(); });
   }
 
   void stop() {
     m_Queue.clear();
-    changeAddress("");
+    changeDestination({});
     for (const auto &Pooled : std::exchange(m_Busy, {}))
       Pooled->close();
   }
 
 private:
-  void changeAddress(std::string Address) {
-    m_Address = std::move(Address);
+  void changeDestination(Destination To) {
+    m_To = std::move(To);
     for (const auto &Pooled : m_Idle)
       Pooled->close();
     m_Idle.clear();
@@ -214,20 +247,20 @@
            (!m_Idle.empty() || m_Busy.size() < m_MaxConnections)) {
       PendingCall Next = std::move(m_Queue.front());
       m_Queue.pop_front();
-      std::shared_ptr<Connection> Acquired = acquire(Next.m_Call.m_Address);
+      std::shared_ptr<Connection> Acquired = acquire(Next.destination());
       m_Busy.insert(Acquired);
       Acquired->start(std::move(Next));
     }
   }
 
-  std::shared_ptr<Connection> acquire(const std::string &Address) {
-    if (!m_Idle.empty() && m_Idle.back()->address() == Address) {
+  std::shared_ptr<Connection> acquire(const Destination &To) {
+    if (!m_Idle.empty() && m_Idle.back()->destination() == To) {
       auto Last = m_Idle.back();
       m_Idle.pop_back();
       return Last;
     }
     return std::make_shared<Connection>(
-        m_Io, Address,
+        m_Io, To,
         [Weak = weak_from_this()](const std::shared_ptr<Connection> &Done,
                                   bool Usable) {
           if (const auto Self = Weak.lock())
@@ -237,7 +270,7 @@
 
   void release(const std::shared_ptr<Connection> &Done, bool Usable) {
     m_Busy.erase(Done);
-    if (Usable && Done->address() == m_Address)
+    if (Usable && Done->destination() == m_To)
       m_Idle.push_back(Done);
     if (!m_Queue.empty())
       boost::asio::post(m_Io,
@@ -246,7 +279,7 @@
 
   boost::asio::io_context &m_Io;
   const std::size_t m_MaxConnections;
-  std::string m_Address;
+  Destination m_To;
   std::vector<std::shared_ptr<Connection>> m_Idle;
   std::set<std::shared_ptr<Connection>> m_Busy;
   std::deque<PendingCall> m_Queue;
@@ -259,8 +292,9 @@
 HttpConnectionPool::~HttpConnectionPool() { m_Impl->stop(); }
 
 void HttpConnectionPool::call(HttpCall Call,
-                              std::function<void(HttpOutcome)> Done) {
-  m_Impl->call(std::move(Call), std::move(Done));
+                              std::function<void(HttpOutcome)> Done,
+                              std::shared_ptr<const PeerCheck> Expected) {
+  m_Impl->call(std::move(Call), std::move(Done), std::move(Expected));
 }
 
 } // namespace cyclamencroft
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -5,7 +5,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace boost::asio {
 class io_context;
@@ -16,6 +18,24 @@
 /// Error step of a call when no process listens at the address.
 constexpr std::string_view ConnectRefusedStep = "connect refused";
 
+/// Error step of a call when another process than the expected one answers at
+/// the address; the call was not sent to it.
+constexpr std::string_view OtherPeerStep = "other peer";
+
+/// Finds out which process has accepted a connection. A connection never moves
+/// to another process, so once the check has passed, every call on it reaches
+/// the expected one.
+struct PeerCheck {
+  /// Names the expected process. Calls that expect different processes share no
+  /// connections.
+  std::string m_Identity;
+  /// Sent first on each new connection; its address and timeout are ignored.
+  HttpCall m_Question;
+  /// Outcome of the calls if the response is not that of the expected process;
+  /// nullopt if it is.
+  std::function<std::optional<HttpOutcome>(const HttpResponse &)> m_Reject;
+};
+
 /// Only for calls that may be repeated: a call is sent again on a new
 /// connection when the peer turns out to have closed the keep-alive connection;
 /// HttpResponse::m_Resent tells so. A call whose timeout passes while it is
@@ -34,10 +54,12 @@
   HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
 
   /// Calls \p Done once, never within this call. Error steps: those of
-  /// httpCallAsync() and ConnectRefusedStep. A call to another address closes
-  /// the idle connections to the previous one; busy ones are closed after their
-  /// call.
-  void call(HttpCall Call, std::function<void(HttpOutcome)> Done);
+  /// httpCallAsync(), ConnectRefusedStep and OtherPeerStep. A call to another
+  /// address or process closes the idle connections to the previous one; busy
+  /// ones are closed after their call. \p Expected may be null: any process may
+  /// then answer.
+  void call(HttpCall Call, std::function<void(HttpOutcome)> Done,
+            std::shared_ptr<const PeerCheck> Expected = nullptr);
 
 private:
   class Impl;
--- a/src/runs/RunEvents.h
+++ b/src/runs/RunEvents.h
@@ -113,9 +113,12 @@
                  LinkClosed, ShutdownRequested, Tick>;
 
 /// Address and recipient of a call, and the fencing token that authorises it.
+/// Invariant: calls that start or stop runs take effect at this incarnation or
+/// nowhere, even when another process with the same id has taken its address.
+/// A hold may reach another process; its answer tells which one.
 struct EndpointCall {
   std::string m_Address;
-  std::string m_EndpointId;
+  EndpointIncarnation m_Endpoint;
   /// The endpoint rejects calls whose token is lower than one it has seen.
   std::uint64_t m_FencingToken = 0;
 };
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -266,7 +266,7 @@
 }
 
 EndpointCall RunnerCore::Impl::callTarget() const {
-  return {m_Address, m_EndpointIncarnation.m_Id, m_Options.m_FencingToken};
+  return {m_Address, m_EndpointIncarnation, m_Options.m_FencingToken};
 }
 
 RunProgress RunnerCore::Impl::progressOf(const Run &Ongoing) const {
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -155,15 +155,19 @@
   const bool NoAnswer = Event.m_Fault == CallFault::NoAnswer;
   const bool SentBefore = Event.m_Resent || Answered.m_UnansweredStarts > 0;
   // A rejection doesn't tell whether an earlier call has started the run or may
-  // still do so. After a stop, the lists do.
-  if (SentBefore && !Started && !NoAnswer &&
-      Event.m_Fault != CallFault::Refused)
+  // still do so. After a stop, the lists do. A process that is gone does
+  // neither.
+  const bool ProcessGone = Event.m_Fault == CallFault::Refused ||
+                           Event.m_Fault == CallFault::OtherIncarnation;
+  if (SentBefore && !Started && !NoAnswer && !ProcessGone)
     return stop(Event.m_Run, Answered, "start-sent-twice");
   switch (Event.m_Fault) {
   case CallFault::None:
     break;
   case CallFault::Refused:
     return markEndpointLost("start-refused");
+  case CallFault::OtherIncarnation:
+    return markEndpointLost("other-endpoint-at-address");
   case CallFault::NotSent:
     ++m_Counters.m_UnansweredCalls;
     m_Meter.runFailed(m_Now);
@@ -177,8 +181,6 @@
         Answered.m_Phase == Phase::Starting)
       return callStart(Event.m_Run, Answered);
     return stop(Event.m_Run, Answered, "start-unanswered");
-  case CallFault::OtherIncarnation:
-    return endAsNotStarted(Event.m_Run, StartRefusal::NoEndpoint);
   case CallFault::Unhealthy:
     m_Meter.runFailed(m_Now);
     return endAsNotStarted(Event.m_Run, StartRefusal::Unhealthy);
@@ -271,6 +273,8 @@
     return;
   if (Event.m_Clock)
     m_Clock.observe(m_Now, *Event.m_Clock);
+  if (Event.m_Fault == CallFault::OtherIncarnation)
+    return markEndpointLost("other-endpoint-at-address");
   Run &Answered = Found->second;
   if (Event.m_Fault == CallFault::Refused)
     return markEndpointLost("stop-refused");
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -208,7 +208,7 @@
 
 BOOST_AUTO_TEST_CASE(AStartNamesTaskRunLeaseAndToken) {
   const HttpCall Call = platform::encodeStart(
-      {{"127.0.0.1:9", "i-7f", 7}, Run, makePayload("spec"), 486000});
+      {{"127.0.0.1:9", {"i-7f", 9}, 7}, Run, makePayload("spec"), 486000});
   const Json Body = Json::parse(Call.m_Body);
   BOOST_TEST(Body["task"] == "5c0e7a21d94b36f8.0.1.17");
   BOOST_TEST(Body["run"] == 2);
@@ -217,6 +217,38 @@
   BOOST_TEST(Call.m_Target == "/-/run-start");
 }
 
+// Guards against a start that is executed by a later process of the endpoint,
+// which has the same id and may have other labels or less capacity.
+BOOST_AUTO_TEST_CASE(OnlyTheExpectedProcessPassesThePeerCheck) {
+  const auto Check = platform::makePeerCheck({"127.0.0.1:9", {"i-7f", 9}, 7});
+  const auto Later = platform::makePeerCheck({"127.0.0.1:9", {"i-7f", 10}, 7});
+  BOOST_TEST(Check->m_Identity != Later->m_Identity);
+  const auto Question = Json::parse(Check->m_Question.m_Body);
+  BOOST_TEST(!Question.contains("deadline_ms"));
+  BOOST_TEST(Question["last_seen"] == 0);
+  const auto FaultOf = [&](const HttpResponse &Response) {
+    const auto Rejection = Check->m_Reject(Response);
+    return Rejection ? platform::readStart(Run, *Rejection).m_Fault
+                     : CallFault::None;
+  };
+  const auto Holding = [](std::uint64_t Born) {
+    return answer(200, {{"clock_ms", 5},
+                        {"born", Born},
+                        {"running", Json::array()},
+                        {"ended", Json::array()}});
+  };
+  BOOST_TEST((FaultOf(Holding(9)) == CallFault::None));
+  BOOST_TEST((FaultOf(Holding(10)) == CallFault::OtherIncarnation));
+  BOOST_TEST((FaultOf(answer(421, {})) == CallFault::OtherIncarnation));
+  BOOST_TEST((FaultOf(answer(503, {})) == CallFault::Unhealthy));
+  BOOST_TEST((FaultOf(answer(200, {})) == CallFault::NoAnswer));
+  // A fenced agent must learn of it, to raise its token.
+  const auto Fenced = Check->m_Reject(answer(409, {{"reason", "fence"}}));
+  BOOST_REQUIRE(Fenced.has_value());
+  BOOST_TEST(
+      (platform::readStart(Run, *Fenced).m_Result == StartResult::Fenced));
+}
+
 // Guards against treating a refusal or a missing answer as a start.
 BOOST_AUTO_TEST_CASE(AnswersToAStartAreDistinguished) {
   const auto Read = [](const HttpOutcome &Outcome) {
--- a/tests/unit/RunnerEndpointTest.cpp
+++ b/tests/unit/RunnerEndpointTest.cpp
@@ -198,6 +198,28 @@
   BOOST_TEST((core().status().m_Endpoint == EndpointState::Active));
 }
 
+// Guards against an agent that offers an endpoint while another process answers
+// at its address, and against waiting for runs that ended with the first one.
+BOOST_AUTO_TEST_CASE(ACallThatMeetsAnotherProcessLosesTheEndpoint) {
+  for (const bool IsStart : {true, false}) {
+    RunnerHarness Harness;
+    Harness.bringUp();
+    Harness.openLink();
+    Harness.startAndAnswer(runNamed(0));
+    Harness.startTask(runNamed(1));
+    Harness.clearCommands();
+    StartAnswered Start;
+    Start.m_Run = runNamed(1);
+    Start.m_Fault = CallFault::OtherIncarnation;
+    StopAnswered Stop;
+    Stop.m_Run = runNamed(0);
+    Stop.m_Fault = CallFault::OtherIncarnation;
+    Harness.feed(IsStart ? RunnerEvent(Start) : RunnerEvent(Stop));
+    BOOST_TEST(Harness.messages<TaskEnded>().size() == 2U);
+    BOOST_TEST((Harness.core().status().m_Endpoint == EndpointState::Absent));
+  }
+}
+
 // Guards against an endpoint that stays unused after one refused connection
 // although it continues to send heartbeats.
 BOOST_AUTO_TEST_CASE(TheSameIncarnationIsUsedAgainAfterItsNextHeartbeat) {
