Job ids keep the case of their digits

Of two jobs whose ids differ only in the case of their digits the second one is answered with the first one's result and never run, and endpoints are told to start tasks under an id that no caller has sent.

Cause: the id was read into a number and written again in small letters.

Change: JobId keeps the number and one bit for each digit that is a capital letter. It is compared, hashed, stored, logged, sent over links and to endpoints, and found by status and cancel with both. Names of tasks in an endpoint's lists are taken only in the form in which they are sent.

A task's name is 8 bytes larger in memory and 2 bytes longer on a link.

--- a/apps/JobCallers.cpp
+++ b/apps/JobCallers.cpp
@@ -15,7 +15,7 @@
 void JobCallers::handleCall(const std::shared_ptr<HttpExchange> &Exchange,
                             const QueuePtr &Queue, std::string_view IdText,
                             const std::function<void(JobId)> &Query) {
-  const std::optional<JobId> Id = platform::readJobId(IdText);
+  const std::optional<JobId> Id = parseJobId(IdText);
   if (!Id)
     return Exchange->respond(platform::encodeRefusal(
         BadRequest, "a job id has 16 hexadecimal digits", {}));
--- a/src/core/Runs.cpp
+++ b/src/core/Runs.cpp
@@ -1,24 +1,8 @@
 // Text forms of run names, run ends and states.
 #include "core/Runs.h"
 
-#include <array>
-
 namespace cyclamencroft {
 
-std::string toHex(JobId Id) {
-  constexpr std::array<char, 16> Digits = {'0', '1', '2', '3', '4', '5',
-                                           '6', '7', '8', '9', 'a', 'b',
-                                           'c', 'd', 'e', 'f'};
-  constexpr unsigned BitsPerDigit = 4;
-  std::string Text(Digits.size(), '0');
-  auto Rest = static_cast<std::uint64_t>(Id);
-  for (auto Digit = Text.rbegin(); Digit != Text.rend(); ++Digit) {
-    *Digit = Digits[Rest % Digits.size()];
-    Rest >>= BitsPerDigit;
-  }
-  return Text;
-}
-
 std::string describe(const RunName &Run) {
   return toHex(Run.m_Task.m_Job) + '.' + std::to_string(Run.m_Task.m_Step) +
          '.' + std::to_string(Run.m_Task.m_Index) + '#' +
--- a/src/core/Runs.h
+++ b/src/core/Runs.h
@@ -2,6 +2,7 @@
 // task of a job on an endpoint, which runs it under a lease.
 #pragma once
 
+#include "core/JobId.h"
 #include "core/RuntimeClock.h"
 #include "core/Size.h"
 
@@ -13,12 +14,6 @@
 
 namespace cyclamencroft {
 
-/// Id that the caller chose for the job; a repeated request has the same id.
-enum class JobId : std::uint64_t {};
-
-/// 16 lower-case hexadecimal digits.
-std::string toHex(JobId Id);
-
 struct TaskName {
   JobId m_Job{};
   std::uint32_t m_Step = 0;
--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -55,23 +55,23 @@
 /// Handles a repeated offer: a caller whose connection broke sends the job
 /// again. Returns false if the job has to be admitted as a new one.
 bool JobCore::Impl::joinKnownJob(const JobOffered &Event) {
-  const auto Key = static_cast<std::uint64_t>(Event.m_Job.m_Id);
-  const auto Known = m_JobById.find(Key);
+  const JobId &Id = Event.m_Job.m_Id;
+  const auto Known = m_JobById.find(Id);
   if (Known != m_JobById.end()) {
     m_Jobs[Known->second].m_Callers.push_back(Event.m_Caller);
     m_JobByCaller.emplace(Event.m_Caller, Known->second);
-    log("job-repeated", {{"job", toHex(Event.m_Job.m_Id)}, {"state", "known"}});
+    log("job-repeated", {{"job", toHex(Id)}, {"state", "known"}});
     return true;
   }
-  const auto Finished = m_FinishedById.find(Key);
+  const auto Finished = m_FinishedById.find(Id);
   if (Finished == m_FinishedById.end())
     return false;
   const JobOutcome Outcome = Finished->second.m_Outcome;
   if (Outcome != JobOutcome::Completed && Outcome != JobOutcome::Failed)
     return false;
-  log("job-repeated", {{"job", toHex(Event.m_Job.m_Id)},
-                       {"state", std::string(toString(Outcome))}});
-  sendAnswer(Event.m_Caller, Event.m_Job.m_Id, Outcome, "", {});
+  log("job-repeated",
+      {{"job", toHex(Id)}, {"state", std::string(toString(Outcome))}});
+  sendAnswer(Event.m_Caller, Id, Outcome, "", {});
   return true;
 }
 
@@ -156,7 +156,7 @@
 }
 
 void JobCore::Impl::accept(const JobOffered &Event, const JobTimes &Times) {
-  const auto Key = static_cast<std::uint64_t>(Event.m_Job.m_Id);
+  const JobId &Id = Event.m_Job.m_Id;
   const JobIndex Index = m_Jobs.add();
   JobRecord &Job = m_Jobs[Index];
   Job = JobRecord{};
@@ -166,7 +166,7 @@
   Job.m_Times = Times;
   Job.m_OrderKey = orderKeyOf(Times, Event.m_Queue->m_Policy, ++m_Arrivals);
   std::uint32_t LastRun = 0;
-  const auto Finished = m_FinishedById.find(Key);
+  const auto Finished = m_FinishedById.find(Id);
   if (Finished != m_FinishedById.end())
     LastRun = Finished->second.m_LastRun;
   TaskRecord Fresh;
@@ -174,7 +174,7 @@
   for (const StepDeclaration &Step : Job.m_Declaration.m_Steps)
     Job.m_Steps.push_back(
         {std::vector<TaskRecord>(Step.m_Count, Fresh), 0, Step.m_Count});
-  m_JobById.emplace(Key, Index);
+  m_JobById.emplace(Id, Index);
   m_JobByCaller.emplace(Event.m_Caller, Index);
   enqueue(Index);
   armTimer(Index);
--- a/src/jobs/JobAnswers.cpp
+++ b/src/jobs/JobAnswers.cpp
@@ -68,7 +68,7 @@
   stopRuns(Index);
   m_Timers.cancel(Job.m_Timer);
   recordFinished(Job, Outcome);
-  m_JobById.erase(static_cast<std::uint64_t>(Id));
+  m_JobById.erase(Id);
   m_Jobs.remove(Index);
 }
 
@@ -104,11 +104,10 @@
   for (const StepRecord &Step : Job.m_Steps)
     for (const TaskRecord &Task : Step.m_Tasks)
       Finished.m_LastRun = std::max(Finished.m_LastRun, Task.m_LastRun);
-  m_FinishedById[static_cast<std::uint64_t>(Finished.m_Job)] = Finished;
+  m_FinishedById[Finished.m_Job] = Finished;
   m_Finished.push_back(Finished);
   while (m_Finished.front().m_FinishedAt + FinishedJobRetention < m_Now) {
-    const auto Key = static_cast<std::uint64_t>(m_Finished.front().m_Job);
-    const auto Known = m_FinishedById.find(Key);
+    const auto Known = m_FinishedById.find(m_Finished.front().m_Job);
     // The job may have been offered again and have ended later.
     if (Known != m_FinishedById.end() &&
         Known->second.m_FinishedAt == m_Finished.front().m_FinishedAt)
--- a/src/jobs/JobCore.cpp
+++ b/src/jobs/JobCore.cpp
@@ -109,12 +109,11 @@
 }
 
 std::optional<JobState> JobCore::Impl::state(JobId Job) const {
-  const auto Key = static_cast<std::uint64_t>(Job);
-  const auto Known = m_JobById.find(Key);
+  const auto Known = m_JobById.find(Job);
   if (Known != m_JobById.end())
     return m_Jobs[Known->second].m_Starts > 0 ? JobState::Running
                                               : JobState::Queued;
-  const auto Finished = m_FinishedById.find(Key);
+  const auto Finished = m_FinishedById.find(Job);
   if (Finished == m_FinishedById.end())
     return std::nullopt;
   switch (Finished->second.m_Outcome) {
@@ -140,7 +139,7 @@
 }
 
 void JobCore::Impl::onEvent(const JobCancelled &Event) {
-  const auto Found = m_JobById.find(static_cast<std::uint64_t>(Event.m_Job));
+  const auto Found = m_JobById.find(Event.m_Job);
   if (Found == m_JobById.end())
     return sendAnswer(Event.m_Caller, Event.m_Job, JobOutcome::Unknown,
                       "no such job", {});
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -154,10 +154,10 @@
   std::vector<JobCommand> *m_Commands = nullptr;
 
   Slab<JobRecord> m_Jobs;
-  std::unordered_map<std::uint64_t, JobIndex> m_JobById;
+  std::unordered_map<JobId, JobIndex, JobIdHash> m_JobById;
   std::unordered_map<CallerId, JobIndex> m_JobByCaller;
   std::deque<FinishedJob> m_Finished;
-  std::unordered_map<std::uint64_t, FinishedJob> m_FinishedById;
+  std::unordered_map<JobId, FinishedJob, JobIdHash> m_FinishedById;
   /// Jobs with waiting tasks.
   std::set<std::pair<JobOrderKey, JobIndex>> m_Waiting;
   std::uint64_t m_Arrivals = 0;
--- a/src/link/CborTokens.h
+++ b/src/link/CborTokens.h
@@ -30,8 +30,8 @@
 std::string_view toString(CborToken::Kind Kind);
 
 /// Arrays nested deeper than this are rejected. The levels of the deepest frame
-/// are frame, message, list, end of a run, run and task.
-constexpr unsigned MaxCborDepth = 6;
+/// are frame, message, list, end of a run, run, task and job.
+constexpr unsigned MaxCborDepth = 7;
 
 /// Fails on anything but whole numbers, booleans, text, byte strings and arrays
 /// of definite length, and on truncated input or bytes after the first value.
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -162,6 +162,10 @@
     m_Visit("config version", Message.m_Version);
   }
   template <class M> void visit(M &, ConfigRequest *) const {}
+  template <class M> void visit(M &Message, JobId *) const {
+    m_Visit("number", Message.m_Number);
+    m_Visit("upper case", Message.m_UpperCase);
+  }
   template <class M> void visit(M &Message, TaskName *) const {
     m_Visit("job", Message.m_Job);
     m_Visit("step", Message.m_Step);
--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace cyclamencroft::soak {
@@ -33,6 +34,17 @@
 constexpr unsigned TooManyRequests = 429;
 constexpr unsigned ServiceUnavailable = 503;
 
+/// Half of the ids are written in capitals, as callers may.
+JobId makeJobId(std::uint64_t Number) {
+  std::string Text = toHex(JobId{Number});
+  if (Number % 2 == 0)
+    std::transform(Text.begin(), Text.end(), Text.begin(), [](char Letter) {
+      return static_cast<char>(
+          std::toupper(static_cast<unsigned char>(Letter)));
+    });
+  return parseJobId(Text).value_or(JobId{Number});
+}
+
 } // namespace
 
 Callers::Callers(Context Shared)
@@ -68,7 +80,7 @@
     return;
   const auto Sent = std::make_shared<Attempt>();
   SubmittedJob &Job = Sent->m_Job;
-  Job.m_Id = JobId{m_Random.next()};
+  Job.m_Id = makeJobId(m_Random.next());
   // Some jobs run longer than the leases and the resend delay.
   const bool Long = m_Random.below(JobsPerLongJob) == 0;
   Job.m_Tasks = 1 + m_Random.below(Long ? 2 : 6);
--- a/tests/unit/JobCoreTest.cpp
+++ b/tests/unit/JobCoreTest.cpp
@@ -253,6 +253,26 @@
   BOOST_TEST((core().state(JobId{1}) == JobState::Completed));
 }
 
+// Guards against a job that is never run because its id differs from that of an
+// earlier one in the case of a digit only, and whose caller gets the other
+// answer.
+BOOST_AUTO_TEST_CASE(IdsThatDifferInCaseOnlyAreDifferentJobs) {
+  connectAgent(1);
+  feed(offer(0xa, 1));
+  JobOffered Other = offer(0xa, 1);
+  Other.m_Job.m_Id.m_UpperCase = 1;
+  feed(Other);
+  BOOST_TEST(runsAt(1).size() == 2U);
+  endRun(1, runsAt(1)[0]);
+  BOOST_REQUIRE(answers().size() == 1U);
+  BOOST_TEST((answers()[0].m_Job == JobId{0xa}));
+  BOOST_TEST((core().state(Other.m_Job.m_Id) == JobState::Running));
+  feed(JobCancelled{CallerId{99}, Other.m_Job.m_Id});
+  BOOST_REQUIRE(messagesTo<StopJob>(1).size() == 1U);
+  BOOST_TEST((messagesTo<StopJob>(1)[0].m_Job == Other.m_Job.m_Id));
+  BOOST_TEST((core().state(JobId{0xa}) == JobState::Completed));
+}
+
 // Guards against a cancelled job that continues to run.
 BOOST_AUTO_TEST_CASE(ACancelledJobIsStoppedAndItsCallerAnswered) {
   connectAgent(1);
--- a/tests/unit/JobLoadTest.cpp
+++ b/tests/unit/JobLoadTest.cpp
@@ -128,12 +128,12 @@
       Ends.erase(Ends.begin());
     }
     for (const RunName &Run : runsAt(1))
-      if (Accepted.insert(static_cast<std::uint64_t>(Run.m_Task.m_Job)).second)
+      if (Accepted.insert(Run.m_Task.m_Job.m_Number).second)
         Ends.emplace(now() + 100ms, Run);
     feed(Tick{});
     for (const JobAnswer &Each : answers())
       if (Each.m_Outcome == JobOutcome::Completed &&
-          now() - ArrivedAt[static_cast<std::uint64_t>(Each.m_Job)] <= 225ms)
+          now() - ArrivedAt[Each.m_Job.m_Number] <= 225ms)
         ++OnTime;
     clearCommands();
   }
@@ -290,11 +290,11 @@
       Ends.erase(Ends.begin());
     }
     for (const RunName &Run : runsAt(1))
-      if (Started.insert(static_cast<std::uint64_t>(Run.m_Task.m_Job)).second)
+      if (Started.insert(Run.m_Task.m_Job.m_Number).second)
         Ends.emplace(now() + 100ms, Run);
     feed(Tick{});
     for (const JobAnswer &Each : answers()) {
-      const auto Job = static_cast<std::uint64_t>(Each.m_Job);
+      const auto Job = Each.m_Job.m_Number;
       const bool Done = Each.m_Outcome == JobOutcome::Completed;
       if (Job < FirstNew)
         ++(Done ? RepeatsDone : RepeatsRefused);
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -32,7 +32,7 @@
   Hello.m_Incarnation = Incarnation(Large);
   Hello.m_Size = {16, 32768, 1};
   Hello.m_State = AgentState::Draining;
-  const RunName Run{{JobId{Large}, 3, 1999}, 7};
+  const RunName Run{{JobId{Large, 0xfff0}, 3, 1999}, 7};
   const EndpointView Endpoint{EndpointGeneration{Large},
                               "i-1",
                               "permits",
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -102,11 +102,43 @@
 }
 
 BOOST_AUTO_TEST_CASE(JobIdsHave16HexadecimalDigits) {
-  BOOST_TEST(
-      (platform::readJobId("5c0e7a21d94b36f8") == JobId{0x5c0e7a21d94b36f8}));
-  BOOST_TEST(!platform::readJobId("5c0e7a21d94b36f").has_value());
-  BOOST_TEST(!platform::readJobId("5c0e7a21d94b36fx").has_value());
-  BOOST_TEST(!platform::readJobId("").has_value());
+  BOOST_TEST((parseJobId("5c0e7a21d94b36f8") == JobId{0x5c0e7a21d94b36f8}));
+  BOOST_TEST(!parseJobId("5c0e7a21d94b36f").has_value());
+  BOOST_TEST(!parseJobId("5c0e7a21d94b36fx").has_value());
+  BOOST_TEST(!parseJobId("").has_value());
+}
+
+// Guards against taking two jobs for one, and against telling endpoints or
+// operators an id that no caller has sent.
+BOOST_AUTO_TEST_CASE(JobIdsKeepTheCaseOfTheirDigits) {
+  const auto Lower = parseJobId("abcdef0123456789");
+  for (const std::string Text :
+       {"ABCDEF0123456789", "aBcDeF0123456789", "abcdef0123456789",
+        "0000000000000000", "000000000000000F", "FFFFFFFFFFFFFFFF"}) {
+    const auto Id = parseJobId(Text);
+    BOOST_REQUIRE(Id.has_value());
+    BOOST_TEST(toHex(*Id) == Text);
+    BOOST_TEST((*Id == *Lower) == (Text == "abcdef0123456789"));
+    const TaskName Task{*Id, 1, 17};
+    BOOST_TEST(platform::encodeTaskName(Task) == Text + ".0.1.17");
+    BOOST_TEST((platform::readTaskName(Text + ".0.1.17") == Task));
+  }
+}
+
+// Guards against a run that is taken for another one because an endpoint lists
+// its task under a name that was never sent to it.
+BOOST_AUTO_TEST_CASE(OnlyNamesAsTheyWereSentNameATask) {
+  BOOST_TEST(platform::readTaskName("5c0e7a21d94b36f8.0.1.17").has_value());
+  for (const char *Text :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
+        "5c0e7a21d94b36f8.0.1.17.", "5c0e7a21d94b36f8.0.01.17",
+        "5c0e7a21d94b36f8.0.1.017", "5c0e7a21d94b36f8.1.1.17",
+        "5c0e7a21d94b36f8.0.1.4294967296", "5c0e7a21d94b36f8.0.-1.17",
+        "5c0e7a21d94b36f8.0.+1.17", "5c0e7a21d94b36f.0.1.17",
+        "05c0e7a21d94b36f8.0.1.17", "5c0e7a21d94b36f8..0.1.17",
+        "5c0e7a21d94b36f80.0.1.17", "5c0e7a21d94b36f8 .0.1.17"})
+    BOOST_TEST_CONTEXT(Text)
+  BOOST_TEST(!platform::readTaskName(Text).has_value());
 }
 
 // Guards against answering "not run" for a job that may have run.
