Signals that arrive during the start are handled after it

The project's own entry and agent had no handler for SIGHUP at all.

Cause: the default action applies until a handler is installed, which came after the command line, the settings, the log and the listeners.

Change: all four daemons hold SIGHUP, SIGINT and SIGTERM in the first statement of main() and release them when the handlers are there; what came in between is delivered then. ReloadSignal moved to src/telemetry, and the own entry and agent use it too. What remains is the time in the loader, a fraction of a millisecond (344,000 cycles by the loader's own statistics), in which no code of ours runs.

--- a/apps/AgentMain.cpp
+++ b/apps/AgentMain.cpp
@@ -1,7 +1,10 @@
 // Agent daemon: the sidecar of one endpoint.
 #include "cyclamencroft/AgentDaemon.h"
+
+#include "core/StartupSignals.h"
 #include "settings/SettingsReader.h"
 #include "telemetry/EventLog.h"
+#include "telemetry/ReloadSignal.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -58,10 +61,13 @@
   EventLog::open(Settings.m_LogFile, Settings.m_Id);
   boost::asio::io_context Io(1);
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  ReloadSignal Reload(Io, Settings.m_Id);
   const auto Daemon = AgentDaemon::Builder(Settings).build();
   Daemon->start();
   awaitSignal(Signals, *Daemon, false);
+  Reload.start();
   std::thread SignalThread([&Io] { Io.run(); });
+  releaseStartupSignals();
   const bool Drained = Daemon->wait();
   Io.stop();
   SignalThread.join();
@@ -72,6 +78,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  holdStartupSignals();
   CLI::App App("Agent of one endpoint");
   std::string File;
   App.add_option("--settings", File, "settings file (TOML)")->required();
--- a/apps/EntryMain.cpp
+++ b/apps/EntryMain.cpp
@@ -1,7 +1,10 @@
 // Entry daemon: reads settings, runs until SIGTERM or SIGINT, and drains.
 #include "cyclamencroft/EntryDaemon.h"
+
+#include "core/StartupSignals.h"
 #include "settings/SettingsReader.h"
 #include "telemetry/EventLog.h"
+#include "telemetry/ReloadSignal.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,6 +15,7 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <string>
 #include <thread>
 
 #include <sys/resource.h>
@@ -28,10 +32,13 @@
 /// at once.
 class SignalThread {
 public:
-  explicit SignalThread(EntryDaemon &Daemon)
-      : m_Daemon(Daemon), m_Signals(m_Io, SIGTERM, SIGINT) {
+  SignalThread(EntryDaemon &Daemon, const std::string &ProcessId)
+      : m_Daemon(Daemon), m_Signals(m_Io, SIGTERM, SIGINT),
+        m_Reload(m_Io, ProcessId) {
     await();
+    m_Reload.start();
     m_Thread = std::thread([this] { m_Io.run(); });
+    releaseStartupSignals();
   }
   ~SignalThread() {
     m_Io.stop();
@@ -61,6 +68,7 @@
   EntryDaemon &m_Daemon;
   boost::asio::io_context m_Io;
   boost::asio::signal_set m_Signals;
+  ReloadSignal m_Reload;
   bool m_ShutdownRequested = false;
   std::atomic<bool> m_Interrupted{false};
   std::thread m_Thread;
@@ -86,7 +94,7 @@
     Daemon->start();
     bool Interrupted = false;
     {
-      const SignalThread Signals(*Daemon);
+      const SignalThread Signals(*Daemon, Settings.m_Id);
       Daemon->wait();
       Interrupted = Signals.interrupted();
     }
@@ -101,6 +109,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  holdStartupSignals();
   CLI::App App("Cyclamencroft entry: accepts requests and jobs and dispatches "
                "their tasks to agents.");
   std::string File;
--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -5,10 +5,10 @@
 #include "CoreLoop.h"
 #include "EventLoop.h"
 #include "JobCallers.h"
-#include "ReloadSignal.h"
 
 #include "core/RcuPointer.h"
 #include "core/RuntimeTimer.h"
+#include "core/StartupSignals.h"
 #include "http/HttpServer.h"
 #include "jobs/JobCore.h"
 #include "link/LinkServer.h"
@@ -19,6 +19,7 @@
 #include "store/TopicFollower.h"
 #include "telemetry/EventLog.h"
 #include "telemetry/Metrics.h"
+#include "telemetry/ReloadSignal.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -119,6 +120,7 @@
               {"failure-domain", m_Settings.m_FailureDomain}});
     awaitSignal();
     m_Reload.start();
+    releaseStartupSignals();
     m_Follower.start();
     m_Announcer.start();
     std::thread HttpThread([this] {
--- a/apps/PlatformMain.h
+++ b/apps/PlatformMain.h
@@ -2,6 +2,7 @@
 // settings validation and log.
 #pragma once
 
+#include "core/StartupSignals.h"
 #include "settings/SettingsReader.h"
 #include "telemetry/EventLog.h"
 
@@ -38,12 +39,13 @@
       });
 }
 
-/// Parses the command line, reads the settings and calls \p Serve with them.
-/// Returns the exit status of the process.
+/// Parses the command line, reads the settings and calls \p Serve with them,
+/// which releases the startup signals. Returns the exit status of the process.
 template <class Settings, class F>
 int runDaemon(int Count, char **Arguments, const std::string &Description,
               boost::leaf::result<Settings> (*Read)(const std::string &),
               F Serve) {
+  holdStartupSignals();
   CLI::App App(Description);
   std::string File;
   bool CheckOnly = false;
--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -5,9 +5,9 @@
 #include "CoreLoop.h"
 #include "EntryDirectory.h"
 #include "EventLoop.h"
-#include "ReloadSignal.h"
 
 #include "core/RuntimeTimer.h"
+#include "core/StartupSignals.h"
 #include "http/HttpConnectionPool.h"
 #include "http/HttpServer.h"
 #include "platform/EndpointWire.h"
@@ -16,6 +16,7 @@
 #include "store/TopicFollower.h"
 #include "telemetry/EventLog.h"
 #include "telemetry/Metrics.h"
+#include "telemetry/ReloadSignal.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -119,6 +120,7 @@
               {"failure-domain", m_Settings.m_FailureDomain}});
     awaitSignal();
     m_Reload.start();
+    releaseStartupSignals();
     for (const std::string &Host : m_Settings.m_SeedHosts)
       m_Entries.addSeed(Host, m_Settings.m_EntryLinkPort);
     m_Follower.start();
--- a/apps/ReloadSignal.cpp
+++ b/src/telemetry/ReloadSignal.cpp
@@ -1,5 +1,5 @@
 // Writes one log line per SIGHUP.
-#include "ReloadSignal.h"
+#include "telemetry/ReloadSignal.h"
 
 #include "telemetry/EventLog.h"
 
