Each run of the soak claims loopback addresses of its own

Cause: the second octet of a run's addresses came from an option whose default all CTest runs shared.

Change: a run claims the first free block by binding one of its addresses, which also ends the claim of a killed run.

--- a/tests/soak/LoopbackAddresses.h
+++ b/tests/soak/LoopbackAddresses.h
@@ -1,5 +1,4 @@
-// Loopback addresses of one run: each process has an address of its own, and
-// concurrent runs differ in the second octet.
+// Loopback addresses of one run: each process has an address of its own.
 #pragma once
 
 #include <cstdint>
@@ -9,7 +8,9 @@
 
 class LoopbackAddresses {
 public:
-  explicit LoopbackAddresses(std::uint32_t Slot) : m_Slot(Slot) {}
+  /// \p SecondOctet is that of an AddressClaim.
+  explicit LoopbackAddresses(std::uint32_t SecondOctet)
+      : m_SecondOctet(SecondOctet) {}
 
   std::string jobs(std::uint32_t Entry) const { return entry(Entry, 8161); }
   std::string ready(std::uint32_t Entry) const { return entry(Entry, 8167); }
@@ -47,11 +48,12 @@
   }
   std::string address(std::uint32_t Third, std::uint32_t Fourth,
                       std::uint32_t Port) const {
-    return "127." + std::to_string(m_Slot) + '.' + std::to_string(Third) + '.' +
-           std::to_string(Fourth) + ':' + std::to_string(Port);
+    return "127." + std::to_string(m_SecondOctet) + '.' +
+           std::to_string(Third) + '.' + std::to_string(Fourth) + ':' +
+           std::to_string(Port);
   }
 
-  std::uint32_t m_Slot;
+  std::uint32_t m_SecondOctet;
 };
 
 } // namespace cyclamencroft::soak
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -43,7 +43,6 @@
   CLI::App App("Randomized fault-injection soak of the platform's daemons");
   SoakSettings Settings;
   std::uint32_t Seeds = 1;
-  std::uint32_t Slot = 1;
   std::int64_t FaultSeconds = 20;
   std::int64_t IntervalMs = 900;
   App.add_option("--seed", Settings.m_Seed, "first seed")
@@ -65,9 +64,6 @@
   App.add_option("--fault-interval-ms", IntervalMs, "mean time between faults")
       ->check(CLI::Range(50, 60000))
       ->capture_default_str();
-  App.add_option("--slot", Slot, "distinguishes concurrent runs on one machine")
-      ->check(CLI::Range(1, 200))
-      ->capture_default_str();
   App.add_option("--folder", Settings.m_Folder, "for settings and logs")
       ->required();
   CLI11_PARSE(App, Count, Arguments);
@@ -80,8 +76,7 @@
   try {
     for (std::uint32_t Done = 0; Done < Seeds; ++Done, ++Settings.m_Seed) {
       Settings.m_Folder = Folder + "/seed-" + std::to_string(Settings.m_Seed);
-      AllHeld =
-          report(Settings.m_Seed, SoakRun(Settings, Slot).run()) && AllHeld;
+      AllHeld = report(Settings.m_Seed, SoakRun(Settings).run()) && AllHeld;
     }
   } catch (const std::exception &Fault) {
     std::cerr << "seed " << Settings.m_Seed << ": " << Fault.what() << '\n';
--- a/tests/soak/SoakDeployment.h
+++ b/tests/soak/SoakDeployment.h
@@ -4,6 +4,7 @@
 
 #include "bench/Relay.h"
 #include "entry/RandomSource.h"
+#include "soak/AddressClaim.h"
 #include "soak/DaemonProcess.h"
 #include "soak/Faults.h"
 #include "soak/KeyedStore.h"
@@ -30,9 +31,7 @@
   using ObserverFactory =
       std::function<EndpointObserver(std::uint32_t Number, Size Capacity)>;
 
-  /// \p Slot distinguishes concurrent runs on a machine; from 1 to 200.
-  SoakDeployment(boost::asio::io_context &Io, const SoakSettings &Settings,
-                 std::uint32_t Slot);
+  SoakDeployment(boost::asio::io_context &Io, const SoakSettings &Settings);
 
   void makeEndpoints(RandomSource &Random, const ObserverFactory &Observer);
   /// Starts every daemon and endpoint.
@@ -59,7 +58,8 @@
 
   boost::asio::io_context &m_Io;
   const SoakSettings &m_Settings;
-  LoopbackAddresses m_Addresses;
+  AddressClaim m_Claim;
+  LoopbackAddresses m_Addresses{m_Claim.octet()};
   KeyedStore m_Store;
   Daemons m_Entries;
   Daemons m_Agents;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -45,10 +45,9 @@
 
 class SoakRun::Impl {
 public:
-  Impl(SoakSettings Settings, std::uint32_t Slot)
+  explicit Impl(SoakSettings Settings)
       : m_Settings(std::move(Settings)), m_Random(m_Settings.m_Seed + 2),
-        m_ResetRandom(m_Settings.m_Seed + 4),
-        m_Deployment(m_Io, m_Settings, Slot),
+        m_ResetRandom(m_Settings.m_Seed + 4), m_Deployment(m_Io, m_Settings),
         m_Callers(Callers::Context{
             m_Io, m_Settings, m_Deployment.addresses(), m_Guarantees,
             m_Configurations, m_Disruptions, [this](std::uint32_t Entry) {
@@ -315,8 +314,8 @@
   SoakResult m_Result;
 };
 
-SoakRun::SoakRun(SoakSettings Settings, std::uint32_t Slot)
-    : m_Impl(std::make_unique<Impl>(std::move(Settings), Slot)) {}
+SoakRun::SoakRun(SoakSettings Settings)
+    : m_Impl(std::make_unique<Impl>(std::move(Settings))) {}
 
 SoakRun::~SoakRun() = default;
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -25,8 +25,7 @@
 
 class SoakRun {
 public:
-  /// \p Slot distinguishes concurrent runs on a machine; from 1 to 200.
-  SoakRun(SoakSettings Settings, std::uint32_t Slot);
+  explicit SoakRun(SoakSettings Settings);
   ~SoakRun();
   SoakRun(const SoakRun &) = delete;
   SoakRun &operator=(const SoakRun &) = delete;
