An acknowledged cancel is final when the job is sent again

A job is cancelled by a request that is acknowledged; 4 s later a copy of its submission arrives and all its tasks run.

Cause: JobOutcome::Cancelled stood both for that request and for a caller whose connection broke. The second one must run again, so both did.

Change: a caller that leaves makes the outcome Abandoned. Completed, failed and cancelled jobs answer their repetition for the 10 s for which they are kept; a cancel of a job that was abandoned, refused or given up is acknowledged and kept too. An abandoned job isn't shown as cancelled any more.

--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -67,7 +67,7 @@
   if (Finished == m_FinishedById.end())
     return false;
   const JobOutcome Outcome = Finished->second.m_Outcome;
-  if (Outcome != JobOutcome::Completed && Outcome != JobOutcome::Failed)
+  if (!isFinal(Outcome))
     return false;
   log("job-repeated",
       {{"job", toHex(Id)}, {"state", std::string(toString(Outcome))}});
--- a/src/jobs/JobAnswers.cpp
+++ b/src/jobs/JobAnswers.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// How long a finished job is kept: callers that lost their connection send a
-/// job again within a few seconds.
+/// job again within a few seconds. A later repetition is taken for a new job.
 constexpr Duration FinishedJobRetention = std::chrono::seconds(10);
 
 } // namespace
@@ -31,6 +31,7 @@
     ++m_Counters.m_JobsGivenUp;
     break;
   case JobOutcome::Cancelled:
+  case JobOutcome::Abandoned:
   case JobOutcome::Unknown:
     ++m_Counters.m_JobsCancelled;
     break;
@@ -104,11 +105,32 @@
   for (const StepRecord &Step : Job.m_Steps)
     for (const TaskRecord &Task : Step.m_Tasks)
       Finished.m_LastRun = std::max(Finished.m_LastRun, Task.m_LastRun);
+  remember(Finished);
+}
+
+/// Cancels a job that has ended in a way after which a repeated offer would run
+/// it again. Returns false if there is no such job.
+bool JobCore::Impl::cancelFinished(const JobId &Id) {
+  const auto Found = m_FinishedById.find(Id);
+  if (Found == m_FinishedById.end() || isFinal(Found->second.m_Outcome))
+    return false;
+  FinishedJob Cancelled = Found->second;
+  log("finished-job-cancelled",
+      {{"job", toHex(Id)},
+       {"outcome", std::string(toString(Cancelled.m_Outcome))},
+       {"age-ms", milliseconds(m_Now - Cancelled.m_FinishedAt)}});
+  Cancelled.m_Outcome = JobOutcome::Cancelled;
+  Cancelled.m_FinishedAt = m_Now;
+  remember(Cancelled);
+  return true;
+}
+
+void JobCore::Impl::remember(const FinishedJob &Finished) {
   m_FinishedById[Finished.m_Job] = Finished;
   m_Finished.push_back(Finished);
   while (m_Finished.front().m_FinishedAt + FinishedJobRetention < m_Now) {
     const auto Known = m_FinishedById.find(m_Finished.front().m_Job);
-    // The job may have been offered again and have ended later.
+    // The job may have been offered again and have ended later, or cancelled.
     if (Known != m_FinishedById.end() &&
         Known->second.m_FinishedAt == m_Finished.front().m_FinishedAt)
       m_FinishedById.erase(Known);
--- a/src/jobs/JobCore.cpp
+++ b/src/jobs/JobCore.cpp
@@ -35,12 +35,19 @@
     return "given-up";
   case JobOutcome::Cancelled:
     return "cancelled";
+  case JobOutcome::Abandoned:
+    return "abandoned";
   case JobOutcome::Unknown:
     return "unknown";
   }
   return "invalid";
 }
 
+bool isFinal(JobOutcome Outcome) {
+  return Outcome == JobOutcome::Completed || Outcome == JobOutcome::Failed ||
+         Outcome == JobOutcome::Cancelled;
+}
+
 JobCore::JobCore(JobCoreOptions Options)
     : m_Impl(std::make_unique<Impl>(std::move(Options))) {}
 
@@ -140,10 +147,11 @@
 
 void JobCore::Impl::onEvent(const JobCancelled &Event) {
   const auto Found = m_JobById.find(Event.m_Job);
-  if (Found == m_JobById.end())
+  if (Found != m_JobById.end())
+    answer(Found->second, JobOutcome::Cancelled, "cancelled by a caller");
+  else if (!cancelFinished(Event.m_Job))
     return sendAnswer(Event.m_Caller, Event.m_Job, JobOutcome::Unknown,
                       "no such job", {});
-  answer(Found->second, JobOutcome::Cancelled, "cancelled by a caller");
   sendAnswer(Event.m_Caller, Event.m_Job, JobOutcome::Cancelled, "", {});
 }
 
@@ -156,7 +164,7 @@
   std::vector<CallerId> &Callers = m_Jobs[Index].m_Callers;
   Callers.erase(std::find(Callers.begin(), Callers.end(), Event.m_Caller));
   if (Callers.empty())
-    answer(Index, JobOutcome::Cancelled, "the caller's connection closed");
+    answer(Index, JobOutcome::Abandoned, "the caller's connection closed");
 }
 
 void JobCore::Impl::onEvent(const ShutdownRequested &) {
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -105,6 +105,9 @@
   void giveUp(JobIndex Index, std::string Reason);
   void stopRuns(JobIndex Index);
   void recordFinished(const JobRecord &Job, JobOutcome Outcome);
+  bool cancelFinished(const JobId &Id);
+  /// Also forgets the jobs that have been kept long enough.
+  void remember(const FinishedJob &Finished);
   void sendAnswer(CallerId Caller, JobId Job, JobOutcome Outcome,
                   std::string Reason, Duration RetryAfter);
   Duration retryAfter();
--- a/src/jobs/JobEvents.h
+++ b/src/jobs/JobEvents.h
@@ -52,15 +52,21 @@
   Failed,
   /// No task of the job has run or will run.
   NotRun,
-  /// Abandoned after tasks of the job may have run.
+  /// Given up after tasks of the job may have run.
   GivenUp,
+  /// By a caller's request. Final: a repeated offer gets this answer.
   Cancelled,
+  /// All callers have disconnected; a repeated offer runs the job again.
+  Abandoned,
   /// No such job; only in answers to cancellations.
   Unknown,
 };
 
 std::string_view toString(JobOutcome Outcome);
 
+/// Whether a repeated offer of the job gets this outcome again.
+bool isFinal(JobOutcome Outcome);
+
 struct JobAnswer {
   CallerId m_Caller{};
   JobId m_Job{};
--- a/tests/unit/JobCoreTest.cpp
+++ b/tests/unit/JobCoreTest.cpp
@@ -14,6 +14,13 @@
     return answers().front();
   }
   JobOutcome onlyOutcome() const { return onlyAnswer().m_Outcome; }
+  /// Advances the clock while agent 1 answers.
+  void runWithReports(Duration Time) {
+    for (Duration Passed{}; Passed < Time; Passed += 50ms) {
+      runFor(50ms);
+      reportLoad(1);
+    }
+  }
 };
 
 } // namespace
@@ -285,6 +292,54 @@
   BOOST_TEST((onlyOutcome() == JobOutcome::Unknown));
 }
 
+// Guards against tasks of a cancelled job that start because a delayed copy of its
+// request arrives after the cancel was acknowledged.
+BOOST_AUTO_TEST_CASE(ARepeatedRequestForACancelledJobGetsThatAnswer) {
+  connectAgent(1);
+  feed(offer(1, 1));
+  feed(JobCancelled{CallerId{99}, JobId{1}});
+  for (int Repetition = 0; Repetition < 2; ++Repetition) {
+    runWithReports(4s);
+    clearCommands();
+    feed(offer(1, 1));
+    BOOST_TEST(messagesTo<StartTask>(1).empty());
+    BOOST_TEST((onlyOutcome() == JobOutcome::Cancelled));
+  }
+  BOOST_TEST((core().state(JobId{1}) == JobState::Cancelled));
+}
+
+// Guards against taking a broken connection for a cancel: the caller sends the
+// job again and waits for its result.
+BOOST_AUTO_TEST_CASE(ARepeatedRequestOfADisconnectedCallerRuns) {
+  connectAgent(1);
+  const JobOffered First = offer(1, 1);
+  feed(First);
+  feed(CallerDisconnected{First.m_Caller});
+  BOOST_TEST(!core().state(JobId{1}).has_value());
+  clearCommands();
+  feed(offer(1, 1));
+  BOOST_TEST(messagesTo<StartTask>(1).size() == 1U);
+  BOOST_TEST(answers().empty());
+}
+
+// Guards against running a job whose caller lost its connection, cancelled the
+// job on a new one and was told so.
+BOOST_AUTO_TEST_CASE(ACancelAfterTheDisconnectIsKept) {
+  connectAgent(1);
+  const JobOffered First = offer(1, 1);
+  feed(First);
+  feed(CallerDisconnected{First.m_Caller});
+  runWithReports(8s);
+  clearCommands();
+  feed(JobCancelled{CallerId{99}, JobId{1}});
+  BOOST_TEST((onlyOutcome() == JobOutcome::Cancelled));
+  runWithReports(8s);
+  clearCommands();
+  feed(offer(1, 1));
+  BOOST_TEST(messagesTo<StartTask>(1).empty());
+  BOOST_TEST((onlyOutcome() == JobOutcome::Cancelled));
+}
+
 // Guards against a second run of a task by an entry that was suspended: the
 // caller has disconnected and sent the job to another entry, and the disconnect
 // is processed shortly after the job itself.
