A second link of an agent to one entry process is rejected

Cause: a hello on the second link names no entry process and lists no run of the first one. The entry closed the first link and counted its runs as lost, while the agent still read their starts there. The agent connected to the closed address again, and so on.

Change: while the entry has a link to the same agent process, or runs there, it rejects a hello that doesn't name it (second-link-rejected). Once the first link is lost and its runs have ended, at the latest with their leases, such a hello is accepted. The branch that ended runs as unknown to the agent can't be reached with runs any more and is gone.

Tests: ASecondLinkOfAnAgentDoesNotReplaceTheFirst and ALinkFromAnotherAddressWaitsForTheLeasesOfTheFirst failed before (5 checks).

A link that is lost between the two hellos makes the agent wait for the leases if starts had been sent on it.

--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -136,6 +136,9 @@
 
   void sendHello(RunnerRow &Row);
   RunnerIndex rowOf(const RunnerHello &Hello);
+  bool comesFromOtherAddress(const RunnerRow &Row,
+                             const RunnerHello &Hello) const;
+  void rejectLink(LinkId Link, const RunnerRow &Row);
   void reconcile(RunnerIndex Index, const RunnerHello &Hello);
   void endMissingRuns(RunnerIndex Index, const std::vector<RunName> &Held);
   void repeatStops(RunnerIndex Index, const std::vector<RunName> &Held);
--- a/src/jobs/JobReconcile.cpp
+++ b/src/jobs/JobReconcile.cpp
@@ -10,6 +10,8 @@
 void JobCore::Impl::onEvent(const RunnerConnected &Event) {
   const RunnerIndex Index = rowOf(Event.m_Hello);
   RunnerRow &Row = m_Rows[Index];
+  if (comesFromOtherAddress(Row, Event.m_Hello))
+    return rejectLink(Event.m_Link, Row);
   if (Row.m_Link)
     dropRunner(Index, "replaced by a new link");
   Row.m_Link = Event.m_Link;
@@ -32,6 +34,28 @@
   updateLoad(m_Rows[Index], Event.m_Hello.m_Load);
 }
 
+/// An agent knows at each address which entry process it has met there. If it
+/// has met this one at another address only, the runs that it holds for that
+/// address are not in the hello, and may go on until their leases expire.
+bool JobCore::Impl::comesFromOtherAddress(const RunnerRow &Row,
+                                          const RunnerHello &Hello) const {
+  if (Hello.m_Incarnation != Row.m_Incarnation ||
+      Hello.m_Entry == m_Options.m_Incarnation)
+    return false;
+  const bool MayHoldRuns = !Row.m_Runs.empty() && !Row.m_AwaitsEarlierRunsEnded;
+  return Row.m_Link || MayHoldRuns;
+}
+
+/// The agent connects again after a delay. It is accepted once the first link
+/// is lost and its runs have ended.
+void JobCore::Impl::rejectLink(LinkId Link, const RunnerRow &Row) {
+  log("second-link-rejected", {{"agent", Row.m_AgentId},
+                               {"connected", Row.m_Link ? "yes" : "no"},
+                               {"runs", std::to_string(Row.m_Runs.size())}});
+  m_Commands->emplace_back(
+      CloseLink{Link, "the agent has met this entry at another address"});
+}
+
 /// The hello extends the lease as well.
 void JobCore::Impl::sendHello(RunnerRow &Row) {
   EntryHello Hello;
@@ -63,8 +87,11 @@
   // many links it says hello.
   if (m_Rows[Index].m_AwaitsEarlierRunsEnded)
     return;
-  if (Hello.m_Entry != m_Options.m_Incarnation)
-    return endRunsAsLost(Index, "unknown-to-agent");
+  // The agent and this process have not met before, so there are no runs.
+  if (Hello.m_Entry != m_Options.m_Incarnation) {
+    m_Rows[Index].m_LeasesExpiredAt = TimePoint::max();
+    return;
+  }
   for (const TaskEnded &Each : Hello.m_Ended)
     runEnded(Index, Each);
   endMissingRuns(Index, Hello.m_Held);
--- a/tests/unit/JobStopTest.cpp
+++ b/tests/unit/JobStopTest.cpp
@@ -34,6 +34,43 @@
 
 BOOST_FIXTURE_TEST_SUITE(JobStops, Fixture)
 
+// Guards against two runs of a task: an agent that knows the entry at a second
+// address does not list the runs that it holds for the first one, and its links
+// replace each other for as long as both addresses work.
+BOOST_AUTO_TEST_CASE(ASecondLinkOfAnAgentDoesNotReplaceTheFirst) {
+  connectAgent(1);
+  feed(offer(1, 2));
+  const std::vector<RunName> Runs = runsAt(1);
+  clearCommands();
+  feed(RunnerConnected{Second, hello(1, 10, Incarnation{1})});
+  const auto Closed = commands<CloseLink>();
+  BOOST_REQUIRE(Closed.size() == 1U);
+  BOOST_TEST((Closed[0].m_Link == Second));
+  BOOST_TEST(messagesTo<StartTask>(1).empty());
+  BOOST_TEST(commands<SendMessage>().empty());
+  for (const RunName &Each : Runs)
+    endRun(1, Each);
+  BOOST_REQUIRE(answers().size() == 1U);
+  BOOST_TEST((answers()[0].m_Outcome == JobOutcome::Completed));
+}
+
+// Guards against the same when the first link is lost: the agent goes on with
+// its runs until their leases expire.
+BOOST_AUTO_TEST_CASE(ALinkFromAnotherAddressWaitsForTheLeasesOfTheFirst) {
+  connectAgent(1);
+  feed(offer(1, 1, 1s));
+  feed(LinkClosed{First});
+  clearCommands();
+  feed(RunnerConnected{Second, hello(1, 10, Incarnation{1})});
+  BOOST_TEST(commands<CloseLink>().size() == 1U);
+  BOOST_TEST(messagesTo<StartTask>(2).empty());
+  runFor(1800ms);
+  clearCommands();
+  feed(RunnerConnected{LinkId{3}, hello(1, 10, Incarnation{1})});
+  BOOST_TEST(commands<CloseLink>().empty());
+  BOOST_TEST(messagesTo<StartTask>(3).size() == 1U);
+}
+
 // Guards against two runs of a task at the same time: the caller's connection
 // and the link to the agent were reset together, so the caller sends its job to
 // another entry while the stop was lost.
