--- a/src/core/JobId.cpp
+++ b/src/core/JobId.cpp
@@ -1,7 +1,6 @@
 // Text form of job ids.
 #include "core/JobId.h"
 
-#include <array>
 #include <cstddef>
 
 namespace cyclamencroft {
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -219,8 +219,9 @@
 /// Request to an agent to start a run.
 struct StartTask {
   RunName m_Run;
-  /// The endpoint that the entry has chosen; no other one may execute the run.
-  EndpointGeneration m_Endpoint{};
+  /// Of the endpoint that the entry has chosen; no other one may execute the
+  /// run.
+  EndpointGeneration m_Generation{};
   Size m_Need;
   /// As in EntryLease; a start extends the lease as well.
   TimePoint m_SentAt{};
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -134,7 +134,7 @@
   }
   template <class M> void visit(M &Message, StartTask *) const {
     m_Visit("run", Message.m_Run);
-    m_Visit("endpoint generation", Message.m_Endpoint);
+    m_Visit("generation", Message.m_Generation);
     m_Visit("need", Message.m_Need);
     m_Visit("sent at", Message.m_SentAt);
     m_Visit("start within", Message.m_StartWithin);
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -176,8 +176,8 @@
   std::uint64_t m_ListedEnds = 0;
 
   /// Invariant: a run ends as lost or not started only when no process that may
-  /// have accepted it can still run it. Calls reach m_EndpointIncarnation only, so
-  /// another process at its address shows that all its runs have ended.
+  /// have accepted it can still run it. Calls reach m_EndpointIncarnation only,
+  /// so another process at its address shows that all its runs have ended.
   Runs m_Runs;
   WaitingRuns m_Waiting;
   /// Invariant: sum of the needs of m_Runs.
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -52,7 +52,7 @@
     break;
   }
   // The endpoint may have been replaced while the start was on its way.
-  if (Message.m_Endpoint != m_Generation)
+  if (Message.m_Generation != m_Generation)
     return StartRefusal::OtherEndpoint;
   if (Delay > MaxStartDelay)
     return StartRefusal::Late;
--- a/tests/unit/JobCoreTest.cpp
+++ b/tests/unit/JobCoreTest.cpp
@@ -292,8 +292,8 @@
   BOOST_TEST((onlyOutcome() == JobOutcome::Unknown));
 }
 
-// Guards against tasks of a cancelled job that start because a delayed copy of its
-// request arrives after the cancel was acknowledged.
+// Guards against tasks of a cancelled job that start because a delayed copy of
+// its request arrives after the cancel was acknowledged.
 BOOST_AUTO_TEST_CASE(ARepeatedRequestForACancelledJobGetsThatAnswer) {
   connectAgent(1);
   feed(offer(1, 1));
--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -30,14 +30,16 @@
   feed(RunnerConnected{LinkId{1}, Hello});
   feed(offer(1, 1));
   BOOST_REQUIRE(messagesTo<StartTask>(1).size() == 1U);
-  BOOST_TEST((messagesTo<StartTask>(1)[0].m_Endpoint == EndpointGeneration{3}));
+  BOOST_TEST(
+      (messagesTo<StartTask>(1)[0].m_Generation == EndpointGeneration{3}));
   EndpointReport Replaced{Hello.m_Endpoint, {}};
   Replaced.m_Endpoint.m_Generation = EndpointGeneration{4};
   feed(MessageReceived{LinkId{1}, Replaced});
   clearCommands();
   endRun(1, runsAt(1)[0], RunEnd::NotStarted, StartRefusal::OtherEndpoint);
   BOOST_REQUIRE(messagesTo<StartTask>(1).size() == 1U);
-  BOOST_TEST((messagesTo<StartTask>(1)[0].m_Endpoint == EndpointGeneration{4}));
+  BOOST_TEST(
+      (messagesTo<StartTask>(1)[0].m_Generation == EndpointGeneration{4}));
 }
 
 // Guards against starts at an agent that does not answer: it gets no more
