A soak run keeps its claim until its listeners are closed

Cause: the claim ended with the deployment, but listeners stay open until the end of the io_context that their handlers run on. In between, another process claimed the block.

Ruled out: two claims of one block (binding is exclusive), a run of the same process (the block was another one's before).

Change: the claim is a member before the io_context and so outlives it.

--- a/tests/soak/SoakDeployment.cpp
+++ b/tests/soak/SoakDeployment.cpp
@@ -21,8 +21,9 @@
 } // namespace
 
 SoakDeployment::SoakDeployment(boost::asio::io_context &Io,
-                               const SoakSettings &Settings)
-    : m_Io(Io), m_Settings(Settings),
+                               const SoakSettings &Settings,
+                               LoopbackAddresses Addresses)
+    : m_Io(Io), m_Settings(Settings), m_Addresses(Addresses),
       m_Store(Io, Settings.m_Seed + 3,
               [this](std::uint32_t Client, const std::string &Topic,
                      const std::string &Value) {
--- a/tests/soak/SoakDeployment.h
+++ b/tests/soak/SoakDeployment.h
@@ -4,7 +4,6 @@
 
 #include "bench/Relay.h"
 #include "entry/RandomSource.h"
-#include "soak/AddressClaim.h"
 #include "soak/DaemonProcess.h"
 #include "soak/Faults.h"
 #include "soak/KeyedStore.h"
@@ -31,7 +30,8 @@
   using ObserverFactory =
       std::function<EndpointObserver(std::uint32_t Number, Size Capacity)>;
 
-  SoakDeployment(boost::asio::io_context &Io, const SoakSettings &Settings);
+  SoakDeployment(boost::asio::io_context &Io, const SoakSettings &Settings,
+                 LoopbackAddresses Addresses);
 
   void makeEndpoints(RandomSource &Random, const ObserverFactory &Observer);
   /// Starts every daemon and endpoint.
@@ -58,8 +58,7 @@
 
   boost::asio::io_context &m_Io;
   const SoakSettings &m_Settings;
-  AddressClaim m_Claim;
-  LoopbackAddresses m_Addresses{m_Claim.octet()};
+  const LoopbackAddresses m_Addresses;
   KeyedStore m_Store;
   Daemons m_Entries;
   Daemons m_Agents;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -3,6 +3,7 @@
 #include "soak/SoakRun.h"
 
 #include "platform/StoreWire.h"
+#include "soak/AddressClaim.h"
 #include "soak/RunAfter.h"
 #include "soak/SoakDeployment.h"
 
@@ -47,7 +48,8 @@
 public:
   explicit Impl(SoakSettings Settings)
       : m_Settings(std::move(Settings)), m_Random(m_Settings.m_Seed + 2),
-        m_ResetRandom(m_Settings.m_Seed + 4), m_Deployment(m_Io, m_Settings),
+        m_ResetRandom(m_Settings.m_Seed + 4),
+        m_Deployment(m_Io, m_Settings, LoopbackAddresses(m_Claim.octet())),
         m_Callers(Callers::Context{
             m_Io, m_Settings, m_Deployment.addresses(), m_Guarantees,
             m_Configurations, m_Disruptions, [this](std::uint32_t Entry) {
@@ -300,6 +302,8 @@
   }
 
   SoakSettings m_Settings;
+  /// Invariant: outlives m_Io, which keeps listeners open until its end.
+  AddressClaim m_Claim;
   boost::asio::io_context m_Io{1};
   RandomSource m_Random;
   /// Apart from m_Random, so that resets leave the other draws as they are.
