A follower delivers keys whose deletion has expired unread

Cause: a topic's follower that has missed records reads the newest record of each key again. A key that was deleted meanwhile is on no page, so its owner goes on with the last value.

Change: keys that were delivered and are not on the pages any more are delivered without a value, and a second handler tells up to which offset all records have been delivered.

Ruled out: asking for the deletion record itself, which is gone.

Test: AKeyWhoseDeletionHasExpiredIsDeliveredAsDeleted, which can't be met by the code before.

--- a/src/store/TopicFollower.cpp
+++ b/src/store/TopicFollower.cpp
@@ -3,8 +3,11 @@
 
 #include "telemetry/EventLog.h"
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace cyclamencroft {
 namespace {
@@ -26,14 +29,17 @@
 } // namespace
 
 TopicFollower::TopicFollower(boost::asio::io_context &Io, TopicStore Store,
-                             Options Opts, Handler Handle)
+                             Options Opts, Handler Handle,
+                             PositionHandler OnPosition)
     : m_Store(std::move(Store)), m_Options(std::move(Opts)),
-      m_Handle(std::move(Handle)), m_Pool(Io, MaxConnections), m_Retry(Io) {}
+      m_Handle(std::move(Handle)), m_OnPosition(std::move(OnPosition)),
+      m_Pool(Io, MaxConnections), m_Retry(Io) {}
 
 TopicFollower::~TopicFollower() = default;
 
 void TopicFollower::start() {
   m_FirstPage = true;
+  m_ListedKeys.clear();
   readNewest("");
 }
 
@@ -55,10 +61,14 @@
   const auto &Page = std::get<NewestPage>(Read);
   if (std::exchange(m_FirstPage, false))
     m_EndAtFirstPage = Page.m_End;
-  for (const KeyedRecord &Each : Page.m_Records)
+  for (const KeyedRecord &Each : Page.m_Records) {
+    m_ListedKeys.insert(Each.m_Key);
     deliver(Each);
+  }
   if (Page.m_Truncated && !Page.m_Records.empty())
     return readNewest(Page.m_Records.back().m_Key);
+  deliverDeletions();
+  reportPosition(m_EndAtFirstPage);
   m_Following = true;
   m_Next = m_EndAtFirstPage;
   readRecords();
@@ -91,12 +101,18 @@
   for (const KeyedRecord &Each : Batch.m_Records)
     deliver(Each);
   m_Next = Batch.m_Next;
+  if (!Batch.m_Records.empty())
+    reportPosition(m_Next);
   readRecords();
 }
 
 void TopicFollower::deliver(const KeyedRecord &Record) {
   if (!m_Options.m_Key.empty() && Record.m_Key != m_Options.m_Key)
     return;
+  if (Record.m_Value.empty())
+    m_Keys.erase(Record.m_Key);
+  else
+    m_Keys.insert(Record.m_Key);
   // A record that can't be handled must not keep later ones from being read.
   try {
     m_Handle(Record);
@@ -109,6 +125,20 @@
   }
 }
 
+/// Records that expired before they were read may have deleted keys.
+void TopicFollower::deliverDeletions() {
+  std::vector<std::string> Deleted;
+  std::set_difference(m_Keys.begin(), m_Keys.end(), m_ListedKeys.begin(),
+                      m_ListedKeys.end(), std::back_inserter(Deleted));
+  for (const std::string &Key : Deleted)
+    deliver({Key, "", m_EndAtFirstPage - 1});
+}
+
+void TopicFollower::reportPosition(std::uint64_t End) {
+  if (m_OnPosition)
+    m_OnPosition(End);
+}
+
 void TopicFollower::handleFault(const std::string &Reason) {
   if (std::exchange(m_Reachable, false))
     logEvent(LogLevel::Warning, "store-lost",
--- a/tests/unit/TopicFollowerTest.cpp
+++ b/tests/unit/TopicFollowerTest.cpp
@@ -167,6 +167,26 @@
   BOOST_TEST(m_Seen.back().m_Value == "2");
 }
 
+// Guards against a key that stays in use although the record that deleted it
+// has expired unread.
+BOOST_AUTO_TEST_CASE(AKeyWhoseDeletionHasExpiredIsDeliveredAsDeleted) {
+  m_Log = {{"a", "1", 0}, {"b", "1", 1}};
+  std::vector<std::uint64_t> Positions;
+  TopicFollower Follower(m_Io, store(), {"topic", "", 10ms}, handler(),
+                         [&](std::uint64_t End) { Positions.push_back(End); });
+  follow(Follower, 2);
+  m_Down = true;
+  m_Io.run_for(100ms);
+  m_Log = {{"b", "1", 0}, {"b", "1", 1}, {"b", "2", 2}, {"b", "2", 3}};
+  m_FirstKept = 3;
+  m_Down = false;
+  runUntil(4);
+  BOOST_TEST(m_Seen.back().m_Key == "a");
+  BOOST_TEST(m_Seen.back().m_Value == "");
+  BOOST_TEST(m_Seen.back().m_Offset == 3U);
+  BOOST_TEST((Positions == std::vector<std::uint64_t>{2, 4}));
+}
+
 // Guards against a follower that stops after a record that its owner can't
 // handle.
 BOOST_AUTO_TEST_CASE(ARecordThatCantBeHandledIsSkipped) {
