Evacuated failure domains get no runs

Change: entries read the requests with the configuration, place nothing there, refuse at once what only evacuated endpoints hold, and tell their agents; an agent refuses starts, and tells entries that know less. Views are ordered by their offset in the log.

Ruled out: agents that read the store (100 reads a second for 70 agents); entries that decide alone (a frozen one starts tasks when it wakes).

--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -10,6 +10,7 @@
 #include "core/RuntimeTimer.h"
 #include "core/StartupSignals.h"
 #include "http/HttpServer.h"
+#include "jobs/EvacuationTracker.h"
 #include "jobs/JobCore.h"
 #include "link/LinkServer.h"
 #include "platform/ConfigurationWire.h"
@@ -85,8 +86,9 @@
         m_Links(m_CoreIo, Settings.m_LinkListen, linkHandlers()),
         m_Follower(
             m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
-            {platform::OperatorTopic, platform::ConfigurationKey},
-            [this](const KeyedRecord &Record) { adopt(Record, "store"); }),
+            {platform::OperatorTopic, ""},
+            [this](const KeyedRecord &Record) { readRecord(Record); },
+            [this](std::uint64_t End) { readEvacuations(End); }),
         m_Announcer(m_CoreIo, platform::makeTopicStore(Settings.m_StoreAddress),
                     platform::EntriesTopic,
                     {Settings.m_Id, Settings.m_LinkListen}),
@@ -279,6 +281,8 @@
     m_Metrics.set("ready", m_Ready ? 1 : 0);
     m_Metrics.set("agents", Status.m_Agents);
     m_Metrics.set("endpoints_active", Status.m_ActiveEndpoints);
+    m_Metrics.set("endpoints_evacuated", Status.m_EvacuatedEndpoints);
+    m_Metrics.set("domains_evacuated", Status.m_EvacuatedDomains);
     m_Metrics.set("jobs", Status.m_Jobs);
     m_Metrics.set("jobs_waiting", Status.m_WaitingJobs);
     m_Metrics.set("runs", Status.m_Runs);
@@ -293,6 +297,19 @@
     m_Metrics.set("retries_total", Status.m_Retries);
   }
 
+  /// Handles a record of the operators' topic.
+  void readRecord(const KeyedRecord &Record) {
+    if (Record.m_Key == platform::ConfigurationKey)
+      return adopt(Record, "store");
+    if (const auto Domain = platform::evacuatedDomainOf(Record.m_Key))
+      m_Evacuations.apply(*Domain, !Record.m_Value.empty(), Record.m_Offset);
+  }
+
+  void readEvacuations(std::uint64_t End) {
+    if (const auto View = m_Evacuations.advance(End))
+      m_Loop.feed(EvacuationsRead{*View});
+  }
+
   void adopt(const KeyedRecord &Record, const char *Source) {
     const auto Read = platform::readConfiguration(Record.m_Value);
     if (const auto *Fault = std::get_if<std::string>(&Read)) {
@@ -366,6 +383,7 @@
   bool m_Stopping = false;
 
   LinkServer m_Links;
+  EvacuationTracker m_Evacuations;
   TopicFollower m_Follower;
   TopicAnnouncer m_Announcer;
   JobCallers m_Callers;
--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -224,6 +224,8 @@
     const RunnerStatus Status = m_Core.status();
     m_Metrics.set("endpoint_active",
                   Status.m_Endpoint == EndpointState::Active ? 1 : 0);
+    m_Metrics.set("endpoint_evacuated",
+                  Status.m_Endpoint == EndpointState::Evacuated ? 1 : 0);
     m_Metrics.set("entry_links", Status.m_Links);
     m_Metrics.set("runs", Status.m_Running);
     m_Metrics.set("starts_total", Status.m_Starts);
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -2,6 +2,7 @@
 // list of them; src/link/ encodes them as CBOR.
 #pragma once
 
+#include "core/EvacuationView.h"
 #include "core/Ids.h"
 #include "core/Outcome.h"
 #include "core/Payload.h"
@@ -18,7 +19,7 @@
 namespace cyclamencroft {
 
 /// Version of the link protocol; a peer with another version is rejected.
-constexpr std::uint32_t ProtocolVersion = 3;
+constexpr std::uint32_t ProtocolVersion = 4;
 
 /// Whether an agent accepts new work.
 enum class AgentState : std::uint8_t { Active = 0, Draining = 1 };
@@ -262,6 +263,13 @@
 /// replies with a ConfigTransfer.
 struct ConfigRequest {};
 
+/// Failure domains that are evacuated, as the sender knows them. Sent by an
+/// entry after its EntryHello and with each change, and by an agent to an entry
+/// that knows less.
+struct EvacuationReport {
+  EvacuationView m_View;
+};
+
 /// The index in this list is the type number on the wire; append only.
 using LinkMessage =
     std::variant<AgentHello, EntryHello, Dispatch, TaskResult, TaskRefused,
@@ -269,6 +277,6 @@
                  ConfigView, Heartbeat, Ping, Pong, ConfigTransfer, QuotaReport,
                  Goodbye, RunnerHello, EndpointReport, LoadReport, StartTask,
                  TaskEnded, StopJob, StopRun, EntryLease, ConfigHeld,
-                 ConfigRequest>;
+                 ConfigRequest, EvacuationReport>;
 
 } // namespace cyclamencroft
--- a/src/core/Runs.cpp
+++ b/src/core/Runs.cpp
@@ -53,6 +53,8 @@
     return "cancelled";
   case StartRefusal::OtherEndpoint:
     return "other-endpoint";
+  case StartRefusal::Evacuated:
+    return "evacuated";
   }
   return "invalid";
 }
@@ -67,6 +69,8 @@
     return "active";
   case EndpointState::Draining:
     return "leaving";
+  case EndpointState::Evacuated:
+    return "evacuated";
   }
   return "invalid";
 }
--- a/src/core/Runs.h
+++ b/src/core/Runs.h
@@ -68,6 +68,7 @@
   Invalid = 7,       ///< The endpoint can't parse the call.
   Cancelled = 8,     ///< The entry cancelled it, or its lease expired.
   OtherEndpoint = 9, ///< Another endpoint replaced the one it was placed on.
+  Evacuated = 10,    ///< The endpoint's failure domain is evacuated.
 };
 
 std::string_view toString(RunEnd End);
@@ -79,6 +80,7 @@
   Clearing = 1, ///< Runs that an earlier agent process started are being ended.
   Active = 2,
   Draining = 3,
+  Evacuated = 4, ///< Its failure domain is evacuated.
 };
 
 std::string_view toString(EndpointState State);
--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -94,6 +94,12 @@
       break;
     case Fit::TooLarge:
       return Refusal{"no endpoint can hold a task", {}};
+    case Fit::Evacuated:
+      // Agents of other domains may still connect.
+      if (m_Now >= m_DiscoveryEndsAt)
+        return Refusal{EvacuatedReason, DefaultRetryAfter};
+      AwaitsEndpoint = true;
+      break;
     case Fit::NoEndpoint:
       if (m_Now >= m_DiscoveryEndsAt)
         return Refusal{"no endpoint of the service is known",
@@ -140,7 +146,8 @@
   const CapacitySummary Capacity = Placement::summarize(m_Rows, Service);
   if (Ahead.m_MilliCores <= Capacity.m_FreeMilliCores)
     return Pause;
-  return Pause + m_Forecast.waitFor(m_Now, Ahead.m_Amount, m_MilliCoresInUse);
+  return Pause +
+         m_Forecast.waitFor(m_Now, Ahead.m_Amount, reusableMilliCores());
 }
 
 JobCore::Impl::QueuedWork
@@ -203,7 +210,7 @@
   for (const auto &[OrderKey, Index] : m_Waiting)
     All += waitingWork(m_Jobs[Index]);
   return std::max(DefaultRetryAfter,
-                  m_Forecast.waitFor(m_Now, All, m_MilliCoresInUse));
+                  m_Forecast.waitFor(m_Now, All, reusableMilliCores()));
 }
 
 } // namespace cyclamencroft
--- a/src/jobs/JobCore.cpp
+++ b/src/jobs/JobCore.cpp
@@ -107,9 +107,11 @@
   JobCoreStatus Status = m_Counters;
   Status.m_Jobs = m_Jobs.size();
   Status.m_WaitingJobs = m_Waiting.size();
+  Status.m_EvacuatedDomains = m_Evacuations.m_Domains.size();
   for (const RunnerRow &Row : m_Rows) {
     Status.m_Agents += Row.m_Link ? 1 : 0;
     Status.m_ActiveEndpoints += Row.takesRuns() ? 1 : 0;
+    Status.m_EvacuatedEndpoints += Row.m_Link && Row.isEvacuated() ? 1 : 0;
     Status.m_Runs += Row.m_Runs.size();
   }
   return Status;
--- a/src/jobs/JobCore.h
+++ b/src/jobs/JobCore.h
@@ -29,6 +29,8 @@
 struct JobCoreStatus {
   std::uint64_t m_Agents = 0;
   std::uint64_t m_ActiveEndpoints = 0;
+  std::uint64_t m_EvacuatedEndpoints = 0;
+  std::uint64_t m_EvacuatedDomains = 0;
   std::uint64_t m_Jobs = 0;
   std::uint64_t m_WaitingJobs = 0;
   std::uint64_t m_Runs = 0;
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -2,7 +2,7 @@
 // and timers, JobAdmission.cpp new jobs, JobDispatch.cpp the start of tasks,
 // JobRuns.cpp their ends, JobAnswers.cpp answers, JobRunners.cpp agents,
 // JobReconcile.cpp their hellos, JobConfigCopies.cpp copies of the
-// configuration at agents.
+// configuration at agents, JobEvacuation.cpp evacuated failure domains.
 #pragma once
 
 #include "jobs/JobCore.h"
@@ -27,6 +27,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
+/// Reason of a refusal while every endpoint that could hold a task is in an
+/// evacuated failure domain.
+constexpr const char *EvacuatedReason =
+    "all endpoints that can hold a task are evacuated";
+
 class JobCore::Impl {
 public:
   explicit Impl(JobCoreOptions Options);
@@ -47,6 +52,7 @@
   void onEvent(const MessageReceived &Event);
   void onEvent(const LinkClosed &Event);
   void onEvent(const ConfigInForce &Event);
+  void onEvent(const EvacuationsRead &Event);
   void onEvent(const ShutdownRequested &Event);
   void onEvent(const Tick &Event);
   void detectSuspension();
@@ -134,6 +140,15 @@
   std::optional<RunnerIndex> nextCopyTarget() const;
   void requestConfig();
 
+  // Evacuated failure domains.
+  void onMessage(RunnerIndex Index, const EvacuationReport &Message);
+  void adoptEvacuations(const EvacuationView &View, std::string_view Source);
+  void markEvacuated(RunnerRow &Row);
+  /// Cores in use that other runs can use once these have ended.
+  std::uint32_t reusableMilliCores() const;
+  /// Refuses the waiting jobs with a task that only evacuated endpoints hold.
+  void refuseUnplaceable();
+
   void sendHello(RunnerRow &Row);
   RunnerIndex rowOf(const RunnerHello &Hello);
   bool comesFromOtherAddress(const RunnerRow &Row,
@@ -186,6 +201,9 @@
   /// When an agent was sent a request for its copy; max() when none is pending.
   TimePoint m_ConfigRequestedAt = TimePoint::max();
 
+  /// The newest view read from the store or received from an agent.
+  EvacuationView m_Evacuations;
+
   Placement m_Placement;
   WaitForecast m_Forecast;
   RepeatEstimate m_Repeats;
--- a/src/jobs/JobEvents.h
+++ b/src/jobs/JobEvents.h
@@ -41,9 +41,15 @@
   std::string m_Document;
 };
 
-using JobEvent = std::variant<JobOffered, JobCancelled, CallerDisconnected,
-                              RunnerConnected, MessageReceived, LinkClosed,
-                              ConfigInForce, ShutdownRequested, Tick>;
+/// The evacuated failure domains, as read from the store.
+struct EvacuationsRead {
+  EvacuationView m_View;
+};
+
+using JobEvent =
+    std::variant<JobOffered, JobCancelled, CallerDisconnected, RunnerConnected,
+                 MessageReceived, LinkClosed, ConfigInForce, EvacuationsRead,
+                 ShutdownRequested, Tick>;
 
 /// Final outcome of a job at this entry.
 enum class JobOutcome : std::uint8_t {
--- a/src/jobs/JobReconcile.cpp
+++ b/src/jobs/JobReconcile.cpp
@@ -65,6 +65,8 @@
   Hello.m_SentAt = m_Now;
   Row.m_LeaseSentAt = m_Now;
   send(Row, std::move(Hello));
+  if (m_Evacuations.m_Offset > 0)
+    send(Row, EvacuationReport{m_Evacuations});
 }
 
 RunnerIndex JobCore::Impl::rowOf(const RunnerHello &Hello) {
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -90,8 +90,9 @@
                            {"generation", describe(Endpoint.m_Generation)},
                            {"state", std::string(toString(Endpoint.m_State))}});
   Row.m_Endpoint = Endpoint;
-  const bool EarlierRunsEnded = Endpoint.m_State == EndpointState::Active ||
-                                Endpoint.m_State == EndpointState::Draining;
+  markEvacuated(Row);
+  const bool EarlierRunsEnded = Endpoint.m_State != EndpointState::Absent &&
+                                Endpoint.m_State != EndpointState::Clearing;
   if (Row.m_AwaitsEarlierRunsEnded && EarlierRunsEnded)
     endRunsAsLost(Index, "agent-restarted");
   m_DispatchNeeded = true;
@@ -144,6 +145,7 @@
     checkRunner(Index);
   placeCopies();
   requestConfig();
+  refuseUnplaceable();
 }
 
 void JobCore::Impl::checkRunner(RunnerIndex Index) {
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -218,12 +218,24 @@
   for (const RunnerRow &Row : Rows) {
     if (!Row.m_Link || Row.m_Endpoint.m_Service != Service)
       continue;
-    if (isEligible(Row.m_Endpoint, Step) &&
-        Row.m_Endpoint.m_Capacity.holds(Step.m_Need))
+    const bool Holds = isEligible(Row.m_Endpoint, Step) &&
+                       Row.m_Endpoint.m_Capacity.holds(Step.m_Need);
+    if (Holds && !Row.isEvacuated())
       return Fit::Fits;
-    Result = Fit::TooLarge;
+    if (Holds)
+      Result = Fit::Evacuated;
+    else if (Result == Fit::NoEndpoint)
+      Result = Fit::TooLarge;
   }
   return Result;
 }
 
+std::uint64_t Placement::capacityInService(const std::vector<RunnerRow> &Rows) {
+  std::uint64_t MilliCores = 0;
+  for (const RunnerRow &Row : Rows)
+    if (Row.takesRuns())
+      MilliCores += Row.m_Endpoint.m_Capacity.m_MilliCores;
+  return MilliCores;
+}
+
 } // namespace cyclamencroft
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -28,7 +28,8 @@
 /// Whether some endpoint could run a step if its capacity were free.
 enum class Fit : std::uint8_t {
   Fits,
-  TooLarge, ///< Every endpoint of the service is too small or lacks the label.
+  TooLarge,  ///< Every endpoint of the service is too small or lacks the label.
+  Evacuated, ///< Those that could are in evacuated failure domains.
   NoEndpoint, ///< No endpoint of the service is known.
 };
 
@@ -55,6 +56,10 @@
   static CapacitySummary summarize(const std::vector<RunnerRow> &Rows,
                                    std::string_view Service);
 
+  /// Total capacity, in milli-cores, of the endpoints of all services that take
+  /// runs.
+  static std::uint64_t capacityInService(const std::vector<RunnerRow> &Rows);
+
   /// Updates the medians over all endpoints. Scans every row, so it is called
   /// periodically and not for each choice.
   void updateMedians(const std::vector<RunnerRow> &Rows);
--- a/src/jobs/RunnerRow.h
+++ b/src/jobs/RunnerRow.h
@@ -75,6 +75,13 @@
 
   /// A run there has far exceeded its usual run time.
   bool m_Stalled = false;
+  /// The entry knows that the endpoint's failure domain is evacuated; the agent
+  /// may know it first.
+  bool m_DomainEvacuated = false;
+
+  bool isEvacuated() const {
+    return m_DomainEvacuated || m_Endpoint.m_State == EndpointState::Evacuated;
+  }
 
   /// Capacity that is in use or waited for, as far as known.
   Size demand() const {
@@ -84,7 +91,7 @@
     return Sum;
   }
   bool takesRuns() const {
-    return m_Link && !m_Suspected &&
+    return m_Link && !m_Suspected && !m_DomainEvacuated &&
            m_Endpoint.m_State == EndpointState::Active;
   }
 };
--- a/src/jobs/WaitForecast.cpp
+++ b/src/jobs/WaitForecast.cpp
@@ -17,6 +17,11 @@
   m_RecentWork += static_cast<double>(Work);
 }
 
+void WaitForecast::scaleRate(std::uint64_t After, std::uint64_t Before) {
+  if (After < Before)
+    m_RecentWork *= static_cast<double>(After) / static_cast<double>(Before);
+}
+
 Duration WaitForecast::waitFor(TimePoint Now, WorkAmount Ahead,
                                std::uint32_t MilliCoresInUse) {
   /// Upper bound of the forecast: longer waits make no difference to a caller.
--- a/src/jobs/WaitForecast.h
+++ b/src/jobs/WaitForecast.h
@@ -18,6 +18,10 @@
   /// Records that \p Work was started at \p Now.
   void recordStart(TimePoint Now, WorkAmount Work);
 
+  /// The capacity has changed from \p Before to \p After, in any unit. A loss
+  /// lowers the expected rate at once; a gain shows in the starts.
+  void scaleRate(std::uint64_t After, std::uint64_t Before);
+
   /// Time until \p Ahead has been started, at the recent rate of starts or the
   /// rate at which \p MilliCoresInUse complete work, whichever is higher: after
   /// a period of low load the first is too low. At most 10 s.
--- a/src/link/LinkCodec.cpp
+++ b/src/link/LinkCodec.cpp
@@ -15,13 +15,13 @@
 constexpr std::size_t MessageTypes = std::variant_size_v<LinkMessage>;
 
 constexpr std::array<std::string_view, MessageTypes> MessageNames = {
-    "AgentHello",  "EntryHello",     "Dispatch",    "TaskResult",
-    "TaskRefused", "CancelTasks",    "Reconcile",   "ReconcileReply",
-    "AgentStatus", "ConfigView",     "Heartbeat",   "Ping",
-    "Pong",        "ConfigTransfer", "QuotaReport", "Goodbye",
-    "RunnerHello", "EndpointReport", "LoadReport",  "StartTask",
-    "TaskEnded",   "StopJob",        "StopRun",     "EntryLease",
-    "ConfigHeld",  "ConfigRequest"};
+    "AgentHello",  "EntryHello",     "Dispatch",        "TaskResult",
+    "TaskRefused", "CancelTasks",    "Reconcile",       "ReconcileReply",
+    "AgentStatus", "ConfigView",     "Heartbeat",       "Ping",
+    "Pong",        "ConfigTransfer", "QuotaReport",     "Goodbye",
+    "RunnerHello", "EndpointReport", "LoadReport",      "StartTask",
+    "TaskEnded",   "StopJob",        "StopRun",         "EntryLease",
+    "ConfigHeld",  "ConfigRequest",  "EvacuationReport"};
 
 template <class T> struct IsVector : std::false_type {};
 template <class T> struct IsVector<std::vector<T>> : std::true_type {};
@@ -41,9 +41,9 @@
 
 template <> constexpr RunEnd LastValue<RunEnd> = RunEnd::NotStarted;
 template <>
-constexpr StartRefusal LastValue<StartRefusal> = StartRefusal::OtherEndpoint;
+constexpr StartRefusal LastValue<StartRefusal> = StartRefusal::Evacuated;
 template <>
-constexpr EndpointState LastValue<EndpointState> = EndpointState::Draining;
+constexpr EndpointState LastValue<EndpointState> = EndpointState::Evacuated;
 
 struct FieldCounter {
   std::size_t m_Count = 0;
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -162,6 +162,13 @@
     m_Visit("config version", Message.m_Version);
   }
   template <class M> void visit(M &, ConfigRequest *) const {}
+  template <class M> void visit(M &Message, EvacuationReport *) const {
+    m_Visit("view", Message.m_View);
+  }
+  template <class M> void visit(M &Message, EvacuationView *) const {
+    m_Visit("offset", Message.m_Offset);
+    m_Visit("domains", Message.m_Domains);
+  }
   template <class M> void visit(M &Message, JobId *) const {
     m_Visit("number", Message.m_Number);
     m_Visit("upper case", Message.m_UpperCase);
--- a/src/runs/EntryLink.h
+++ b/src/runs/EntryLink.h
@@ -30,6 +30,9 @@
   bool m_DelayMeasured = false;
   /// Runs of the entry are stopped at this time, unless the lease is extended.
   TimePoint m_LeaseExpiresAt{};
+  /// Highest offset of the evacuation views sent to or received from the entry
+  /// on the present connection.
+  std::uint64_t m_EvacuationsOffset = 0;
   /// StartTask messages received on the present connection.
   std::uint64_t m_StartsReceived = 0;
   /// Time of the latest message. A connection without messages for
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -82,6 +82,7 @@
   void onMessage(EntryLink &Link, const EntryLease &Message);
   void onMessage(EntryLink &Link, const ConfigTransfer &Message);
   void onMessage(EntryLink &Link, const ConfigRequest &Message);
+  void onMessage(EntryLink &Link, const EvacuationReport &Message);
   void onMessage(EntryLink &Link, const Pong &Message);
   void onMessage(EntryLink &Link, const Goodbye &Message);
   /// Any message that entries don't send to run agents.
@@ -104,6 +105,8 @@
   /// start and suspects the agent unless a report confirms it soon.
   void markReportsDue(const EntryLink *StartedBy);
   void reportEndpoint();
+  /// Tells the entry which domains are evacuated if it knows less.
+  void reportEvacuations(EntryLink &Link);
   bool holdsRunsOf(const EntryLink &Link) const;
 
   // Runs.
@@ -190,6 +193,10 @@
   /// can't read the store; version 0 for none.
   ConfigTransfer m_Config;
 
+  /// The newest view received from an entry. Invariant: no run is accepted
+  /// while it contains the endpoint's failure domain.
+  EvacuationView m_Evacuations;
+
   EndpointState m_ReportedState = EndpointState::Absent;
   bool m_ShuttingDown = false;
   bool m_Drained = false;
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -254,8 +254,11 @@
     return EndpointState::Absent;
   if (!m_EarlierRunsEnded)
     return EndpointState::Clearing;
-  return m_EndpointDraining || m_ShuttingDown ? EndpointState::Draining
-                                              : EndpointState::Active;
+  if (m_EndpointDraining || m_ShuttingDown)
+    return EndpointState::Draining;
+  return m_Evacuations.contains(m_View.m_FailureDomain)
+             ? EndpointState::Evacuated
+             : EndpointState::Active;
 }
 
 EndpointView RunnerCore::Impl::offeredView() const {
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -35,6 +35,7 @@
   Link.m_DelayMeasured = false;
   Link.m_LastMessageAt = m_Now;
   Link.m_StartsReceived = 0;
+  Link.m_EvacuationsOffset = 0;
   sendHello(Link);
 }
 
@@ -125,6 +126,33 @@
   Link.m_ReportInterval = std::clamp(Message.m_ReportInterval,
                                      MinReportInterval, MaxReportInterval);
   reportLoad(Link);
+  reportEvacuations(Link);
+}
+
+void RunnerCore::Impl::onMessage(EntryLink &Link,
+                                 const EvacuationReport &Message) {
+  const EvacuationView &View = Message.m_View;
+  Link.m_EvacuationsOffset = std::max(Link.m_EvacuationsOffset, View.m_Offset);
+  if (!View.isNewerThan(m_Evacuations))
+    return reportEvacuations(Link);
+  if (View.m_Domains != m_Evacuations.m_Domains)
+    log("evacuations-adopted",
+        {{"entry", Link.m_EntryId},
+         {"offset", std::to_string(View.m_Offset)},
+         {"offset-before", std::to_string(m_Evacuations.m_Offset)},
+         {"domains", describe(View)},
+         {"domains-before", describe(m_Evacuations)},
+         {"failure-domain", m_View.m_FailureDomain}});
+  m_Evacuations = View;
+}
+
+/// An entry that reads the store has the view before its next lease arrives, so
+/// that only those that can't read it are sent one.
+void RunnerCore::Impl::reportEvacuations(EntryLink &Link) {
+  if (Link.m_EvacuationsOffset >= m_Evacuations.m_Offset)
+    return;
+  Link.m_EvacuationsOffset = m_Evacuations.m_Offset;
+  send(Link, EvacuationReport{m_Evacuations});
 }
 
 void RunnerCore::Impl::onMessage(EntryLink &Link, const Goodbye &Message) {
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -27,6 +27,22 @@
 constexpr Duration InitialStopBackoff = std::chrono::milliseconds(20);
 constexpr Duration MaxStopBackoff = std::chrono::milliseconds(160);
 
+/// Why no run can be started at an endpoint in this state.
+StartRefusal refusalOf(EndpointState State) {
+  switch (State) {
+  case EndpointState::Absent:
+  case EndpointState::Clearing:
+    return StartRefusal::NoEndpoint;
+  case EndpointState::Draining:
+    return StartRefusal::Draining;
+  case EndpointState::Evacuated:
+    return StartRefusal::Evacuated;
+  case EndpointState::Active:
+    break;
+  }
+  return StartRefusal::None;
+}
+
 } // namespace
 
 void RunnerCore::Impl::onMessage(EntryLink &Link, const StartTask &Message) {
@@ -42,15 +58,9 @@
                                           Duration Delay) const {
   if (m_ShuttingDown)
     return StartRefusal::Draining;
-  switch (offeredState()) {
-  case EndpointState::Absent:
-  case EndpointState::Clearing:
-    return StartRefusal::NoEndpoint;
-  case EndpointState::Draining:
-    return StartRefusal::Draining;
-  case EndpointState::Active:
-    break;
-  }
+  const StartRefusal Unavailable = refusalOf(offeredState());
+  if (Unavailable != StartRefusal::None)
+    return Unavailable;
   // The endpoint may have been replaced while the start was on its way.
   if (Message.m_Generation != m_Generation)
     return StartRefusal::OtherEndpoint;
@@ -105,13 +115,9 @@
 void RunnerCore::Impl::startWaiting() {
   if (m_Waiting.empty())
     return;
-  const EndpointState State = offeredState();
-  if (State != EndpointState::Active) {
-    const bool Leaves = State == EndpointState::Draining;
-    return refuseWaiting([](const WaitingRun &) { return true; },
-                         Leaves ? StartRefusal::Draining
-                                : StartRefusal::NoEndpoint);
-  }
+  const StartRefusal Unavailable = refusalOf(offeredState());
+  if (Unavailable != StartRefusal::None)
+    return refuseWaiting([](const WaitingRun &) { return true; }, Unavailable);
   while (std::optional<WaitingRun> Next = m_Waiting.takeFitting(freeCapacity()))
     start(std::move(*Next));
 }
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -84,7 +84,8 @@
       StopRun{Run},
       EntryLease{TimePoint(Duration(9)), Duration(80000)},
       ConfigHeld{7},
-      ConfigRequest{}};
+      ConfigRequest{},
+      EvacuationReport{{Large, {"brest", "quimper"}}}};
 }
 
 /// Text of the error, or empty when the frame is accepted.
