Commands that evacuate and restore a failure domain

Cause: operators had no command for a request that the store holds.

Change: cyclamencroft domain evacuate, restore and show, with the exit codes of the other commands. The translation of keys stays in platform/.

--- a/apps/CliMain.cpp
+++ b/apps/CliMain.cpp
@@ -1,8 +1,15 @@
 // Command-line tool for operators and callers.
 #include "cli/Cli.h"
+#include "cli/DomainCommands.h"
+#include "platform/StoreWire.h"
 
 #include <iostream>
 
+using namespace cyclamencroft;
+
 int main(int Count, char **Arguments) {
-  return cyclamencroft::runCli(Count, Arguments, std::cout, std::cerr);
+  const OperatorStore Store{platform::makeTopicStore, platform::OperatorTopic,
+                            platform::evacuationKeyOf,
+                            platform::evacuatedDomainOf};
+  return runCli(Count, Arguments, std::cout, std::cerr, &Store);
 }
--- a/src/cli/Cli.cpp
+++ b/src/cli/Cli.cpp
@@ -3,6 +3,7 @@
 #include "cli/Cli.h"
 
 #include "cli/Commands.h"
+#include "cli/DomainCommands.h"
 #include "settings/TextFormat.h"
 
 #include <CLI/CLI.hpp>
@@ -54,7 +55,7 @@
 }
 
 int runCli(int Count, const char *const *Arguments, std::ostream &Output,
-           std::ostream &Errors) {
+           std::ostream &Errors, const OperatorStore *Store) {
   CLI::App App("Dispatcher for short tasks: configuration, presets, requests "
                "and jobs.\nExample: cyclamencroft preset switch peak --log "
                "127.0.0.1:7000",
@@ -70,6 +71,8 @@
   addBenchCommand(App, Sink);
   addCallerCommands(App, Sink);
   addConfigCommands(App, Sink);
+  if (Store)
+    addDomainCommands(App, Sink, *Store);
   addSettingsCommands(App, Sink);
   try {
     App.parse(Count, Arguments);
--- a/src/cli/Cli.h
+++ b/src/cli/Cli.h
@@ -5,8 +5,11 @@
 
 namespace cyclamencroft {
 
+struct OperatorStore;
+
 /// Runs one command and returns the exit code of the process, see ExitCode.
+/// Without \p Store there are no commands for failure domains.
 int runCli(int Count, const char *const *Arguments, std::ostream &Output,
-           std::ostream &Errors);
+           std::ostream &Errors, const OperatorStore *Store = nullptr);
 
 } // namespace cyclamencroft
