The soak evacuates failure domains

Change: endpoints are spread over two failure domains, one of which is evacuated for 5 to 9 s now and then. A start there later than 5 s after the store's acknowledgement is a violation, if some entry could read the store and tell the agent all the while.

--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t FaultsPerHostReset = 6;
 constexpr std::uint32_t HostResetSharePercent = 50;
 
+constexpr std::uint32_t FaultsPerEvacuation = 6;
+
 constexpr std::array<const char *, 7> LinkModes = {
     R"({"mode":"cut"})",
     R"({"mode":"reset"})",
@@ -107,6 +109,10 @@
          " are reset";
 }
 
+std::string text(const Evacuation &Each) {
+  return "failure domain " + std::to_string(Each.m_Domain) + " is evacuated";
+}
+
 std::string text(const ConfigurationChange &) { return "configuration"; }
 
 /// Returns a fault whose kind is still to be set.
@@ -140,6 +146,16 @@
         HostResets{Random.below(Settings.m_Entries), HostResetSharePercent};
     Plan.push_back(Generated);
   }
+  for (std::uint32_t Number = 0; Number < Count / FaultsPerEvacuation;
+       ++Number) {
+    Fault Generated = faultAtRandomTime(Random, Settings);
+    // Long enough for starts after the bound to be seen, and over before the
+    // service is expected to recover.
+    Generated.m_At /= 2;
+    Generated.m_Duration += Bounds::MaxEvacuationDelay;
+    Generated.m_Kind = Evacuation{Random.below(Settings.m_Domains)};
+    Plan.push_back(Generated);
+  }
   std::stable_sort(
       Plan.begin(), Plan.end(),
       [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
--- a/tests/soak/Faults.h
+++ b/tests/soak/Faults.h
@@ -71,12 +71,17 @@
   std::uint32_t m_SharePercent = 0;
 };
 
+/// Evacuates a failure domain and restores it after the fault's duration.
+struct Evacuation {
+  std::uint32_t m_Domain = 0;
+};
+
 /// Publishes a configuration with other queues.
 struct ConfigurationChange {};
 
 using FaultKind =
     std::variant<ProcessFault, LinkFault, StoreFault, EndpointFault,
-                 TrafficFault, HostResets, ConfigurationChange>;
+                 TrafficFault, HostResets, Evacuation, ConfigurationChange>;
 
 struct Fault {
   /// Offset from the start of the fault phase.
--- a/tests/soak/LeasedEndpoint.cpp
+++ b/tests/soak/LeasedEndpoint.cpp
@@ -338,7 +338,7 @@
   Beat.m_Timeout = std::chrono::seconds(1);
   Beat.m_Body = json{{"service", m_Options.m_Service},
                      {"address", m_Options.m_Listen},
-                     {"zone", "soak"},
+                     {"zone", m_Options.m_FailureDomain},
                      {"version", "v1"},
                      {"slots", 8},
                      {"state", Drains ? "draining" : "ready"},
--- a/tests/soak/LeasedEndpoint.h
+++ b/tests/soak/LeasedEndpoint.h
@@ -26,6 +26,7 @@
 struct LeasedEndpointOptions {
   std::string m_Name;
   std::string m_Service;
+  std::string m_FailureDomain;
   /// "IP:port" on which it accepts commands.
   std::string m_Listen;
   std::string m_AgentAddress;
--- a/tests/soak/SoakDeployment.cpp
+++ b/tests/soak/SoakDeployment.cpp
@@ -97,6 +97,7 @@
     LeasedEndpointOptions Options;
     Options.m_Name = "endpoint-" + std::to_string(I);
     Options.m_Service = "desk";
+    Options.m_FailureDomain = domainName(I % m_Settings.m_Domains);
     Options.m_Listen = m_Addresses.endpoint(I);
     Options.m_AgentAddress = m_Addresses.agent(I);
     Options.m_Capacity.m_MilliCores = wholeCores(EndpointCores);
@@ -129,6 +130,10 @@
   return Value;
 }
 
+std::string SoakDeployment::domainName(std::uint32_t Domain) {
+  return Domain == 0 ? "soak" : "soak-" + std::to_string(Domain);
+}
+
 void SoakDeployment::setLink(const LinkFault &Link, const std::string &Mode) {
   HttpCall Call;
   Call.m_Address = m_Relays.at({Link.m_Agent, Link.m_Entry})->controlAddress();
--- a/tests/soak/SoakDeployment.h
+++ b/tests/soak/SoakDeployment.h
@@ -39,6 +39,8 @@
   /// Sets the mode of the relay between an agent and an entry.
   void setLink(const LinkFault &Link, const std::string &Mode);
 
+  static std::string domainName(std::uint32_t Domain);
+
   const LoopbackAddresses &addresses() const { return m_Addresses; }
   KeyedStore &store() { return m_Store; }
   Daemons &entries() { return m_Entries; }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <map>
 #include <utility>
 
 namespace cyclamencroft::soak {
@@ -103,6 +104,7 @@
       const TimePoint Now = RuntimeClock::now();
       m_Guarantees.runStarted(Now, Name, Run, Specification);
       checkDrained(Now, Number, Name, Run);
+      checkEvacuated(Now, Number, Name, Run);
     };
     Observer.m_Ended = [this](const std::string &Name, const RunName &Run,
                               RunEnd End) {
@@ -119,6 +121,37 @@
                                 describe(Run) + " started at " + Name);
   }
 
+  static std::string linkName(std::uint32_t Agent, std::uint32_t Entry) {
+    return "link-" + std::to_string(Agent) + '-' + std::to_string(Entry);
+  }
+  static std::string endpointName(std::uint32_t Number) {
+    return "endpoint-" + std::to_string(Number);
+  }
+
+  /// The agent must know of the evacuation when one entry has been able to read
+  /// the store and to tell it for the whole bound.
+  void checkEvacuated(TimePoint Now, std::uint32_t Number,
+                      const std::string &Name, const RunName &Run) {
+    const auto Found = m_EvacuatedSince.find(Number % m_Settings.m_Domains);
+    if (Found == m_EvacuatedSince.end() ||
+        Now - Found->second <= Bounds::MaxEvacuationDelay)
+      return;
+    const auto IsCalm = [&](const std::string &Component) {
+      return m_Disruptions.undisrupted(Component, Now, Now,
+                                       Bounds::MaxEvacuationDelay);
+    };
+    if (!IsCalm(endpointName(Number)) ||
+        !IsCalm(m_Deployment.agents()[Number]->name()))
+      return;
+    for (std::uint32_t E = 0; E < m_Settings.m_Entries; ++E)
+      if (IsCalm("store-" + std::to_string(E)) &&
+          IsCalm(m_Deployment.entries()[E]->name()) &&
+          IsCalm(linkName(Number, E)))
+        return m_Guarantees.addViolation(Now,
+                                         "no starts in an evacuated domain",
+                                         describe(Run) + " started at " + Name);
+  }
+
   /// Publishes the queue "desk" and a random subset of the others.
   void publishConfiguration() {
     constexpr std::uint32_t OtherQueues = 6;
@@ -179,9 +212,12 @@
   }
 
   void begin(const LinkFault &Kind, Duration FaultDuration) {
+    const std::string Link = linkName(Kind.m_Agent, Kind.m_Entry);
+    m_Disruptions.begin(Link, RuntimeClock::now(), false);
     m_Deployment.setLink(Kind, Kind.m_Mode);
-    runAfter(m_Io, FaultDuration, [this, Kind] {
+    runAfter(m_Io, FaultDuration, [this, Kind, Link] {
       m_Deployment.setLink(Kind, R"({"mode":"pass"})");
+      m_Disruptions.endOne(Link, RuntimeClock::now());
     });
   }
 
@@ -233,8 +269,13 @@
 
   void begin(const EndpointFault &Kind, Duration FaultDuration) {
     LeasedEndpoint &Target = *m_Deployment.endpoints()[Kind.m_Target];
+    const std::string Component = endpointName(Kind.m_Target);
+    m_Disruptions.begin(Component, RuntimeClock::now(), false);
     Target.begin(Kind.m_Type);
-    runAfter(m_Io, FaultDuration, [&Target, Kind] { Target.end(Kind.m_Type); });
+    runAfter(m_Io, FaultDuration, [this, &Target, Kind, Component] {
+      Target.end(Kind.m_Type);
+      m_Disruptions.endOne(Component, RuntimeClock::now());
+    });
   }
 
   void begin(const TrafficFault &Kind, Duration FaultDuration) {
@@ -242,6 +283,24 @@
     runAfter(m_Io, FaultDuration, [this, Kind] { m_Callers.end(Kind.m_Type); });
   }
 
+  /// Only the first of overlapping evacuations of a domain takes effect.
+  void begin(const Evacuation &Kind, Duration FaultDuration) {
+    if (!m_EvacuatedSince.emplace(Kind.m_Domain, RuntimeClock::now()).second)
+      return;
+    requestEvacuation(Kind.m_Domain, "{}");
+    runAfter(m_Io, FaultDuration, [this, Kind] {
+      requestEvacuation(Kind.m_Domain, "");
+      m_EvacuatedSince.erase(Kind.m_Domain);
+    });
+  }
+
+  /// An empty value restores the domain.
+  void requestEvacuation(std::uint32_t Domain, const std::string &Value) {
+    const std::string Name = SoakDeployment::domainName(Domain);
+    m_Deployment.store().append(platform::OperatorTopic,
+                                {platform::evacuationKeyOf(Name), Value});
+  }
+
   void begin(const ConfigurationChange &, Duration) { publishConfiguration(); }
 
   // Checks.
@@ -312,6 +371,8 @@
   ConfigurationChecker m_Configurations;
   DisruptionHistory m_Disruptions;
   ConfigVersion m_Version = 0;
+  /// When the store has acknowledged the evacuation, by domain.
+  std::map<std::uint32_t, TimePoint> m_EvacuatedSince;
   SoakDeployment m_Deployment;
   Callers m_Callers;
   TimePoint m_CheckedAt{};
--- a/tests/soak/SoakSettings.h
+++ b/tests/soak/SoakSettings.h
@@ -12,6 +12,8 @@
   std::uint64_t m_Seed = 1;
   std::uint32_t m_Entries = 2;
   std::uint32_t m_Endpoints = 4;
+  /// Failure domains over which the endpoints are spread.
+  std::uint32_t m_Domains = 2;
   /// Period in which faults begin; each one ends after its own duration.
   Duration m_FaultPhase{std::chrono::seconds(20)};
   /// Mean time between the starts of two faults.
@@ -28,6 +30,8 @@
   static constexpr Duration MaxConfigurationDelay{std::chrono::seconds(2)};
   static constexpr Duration MaxRollbackTime{std::chrono::milliseconds(250)};
   static constexpr Duration MaxDrainDelay{std::chrono::seconds(2)};
+  /// Of the deployments whose operators evacuate domains.
+  static constexpr Duration MaxEvacuationDelay{std::chrono::seconds(5)};
   static constexpr Duration ShutdownTimeout{std::chrono::seconds(6)};
   static constexpr Duration MinReadTime{std::chrono::milliseconds(200)};
   static constexpr Duration MaxRecoveryTime{std::chrono::seconds(12)};
