--- a/src/core/Runs.h
+++ b/src/core/Runs.h
@@ -101,6 +101,8 @@
   std::string m_FailureDomain;
   /// Type of the worker and its rack.
   std::vector<std::string> m_Labels;
+  /// Endpoints on workers of one type are equally fast; empty when unknown.
+  std::string m_WorkerType;
   Size m_Capacity;
   EndpointState m_State = EndpointState::Absent;
 };
--- a/src/jobs/JobDispatch.cpp
+++ b/src/jobs/JobDispatch.cpp
@@ -123,6 +123,8 @@
   Query.m_Step = &Job.m_Declaration.m_Steps[StepNumber];
   Query.m_Job = Job.m_Declaration.m_Id;
   Query.m_StepNumber = StepNumber;
+  if (!Job.m_OrderKey.m_Late)
+    Query.m_ObjectiveAt = Job.m_Times.m_Objective;
   for (std::uint32_t Number = 0; Number < Step.m_Tasks.size(); ++Number) {
     const TaskRecord &Task = Step.m_Tasks[Number];
     if (Task.m_State != TaskState::Waiting)
--- a/src/jobs/JobRunners.cpp
+++ b/src/jobs/JobRunners.cpp
@@ -225,6 +225,8 @@
       {{"agent", Row.m_AgentId},
        {"verdict", std::string(toString(Health))},
        {"run-time-percent", std::to_string(Quality.m_RunTimePercent)},
+       {"usual-percent",
+        std::to_string(m_Placement.usualRunTimePercent(Row.m_Endpoint))},
        {"failed-percent", std::to_string(Quality.m_FailedPercent)},
        {"sample-age-us", std::to_string(Quality.m_SampleAge.count())},
        {"stalled", Row.m_Stalled ? "yes" : "no"}});
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -22,6 +22,9 @@
 /// miss an objective of 1.6 times their run time.
 constexpr double SlowFactor = 2.0;
 
+/// Fewer endpoints of a worker type are compared with all others only.
+constexpr std::size_t MinPeers = 3;
+
 /// An endpoint at which a smaller share of runs fails is not ejected; single
 /// failures are normal.
 constexpr std::uint32_t MinFailedPercent = 30;
@@ -43,6 +46,24 @@
 constexpr double OtherRackCost = 0.3;
 constexpr double AvoidedCost = 2.0;
 
+/// Random sample of rows; each one that was added is in it with the same
+/// probability.
+struct ReservoirSample {
+  std::vector<RunnerIndex> m_Rows;
+  std::uint32_t m_Seen = 0;
+
+  void add(RunnerIndex Index, RandomSource &Random) {
+    ++m_Seen;
+    if (m_Rows.size() < SampleSize) {
+      m_Rows.push_back(Index);
+      return;
+    }
+    const std::uint32_t Slot = Random.below(m_Seen);
+    if (Slot < SampleSize)
+      m_Rows[Slot] = Index;
+  }
+};
+
 bool hasLabel(const EndpointView &Endpoint, const std::string &Label) {
   const auto &Labels = Endpoint.m_Labels;
   return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
@@ -90,21 +111,42 @@
 void Placement::updateMedians(const std::vector<RunnerRow> &Rows) {
   std::vector<std::uint32_t> RunTimes;
   std::vector<std::uint32_t> Failures;
+  std::map<std::string, std::vector<std::uint32_t>> RunTimesByType;
   for (const RunnerRow &Row : Rows) {
     const EndpointQuality &Quality = Row.m_Load.m_Quality;
     if (!Row.takesRuns() || Quality.m_RunTimePercent == 0)
       continue;
     RunTimes.push_back(Quality.m_RunTimePercent);
     Failures.push_back(Quality.m_FailedPercent);
+    if (!Row.m_Endpoint.m_WorkerType.empty())
+      RunTimesByType[Row.m_Endpoint.m_WorkerType].push_back(
+          Quality.m_RunTimePercent);
   }
+  m_MedianByType.clear();
+  for (auto &[Type, Values] : RunTimesByType)
+    if (Values.size() >= MinPeers)
+      m_MedianByType[Type] = medianOf(std::move(Values), WholePercent);
   m_MedianRunTimePercent = medianOf(std::move(RunTimes), WholePercent);
   m_MedianFailedPercent = medianOf(std::move(Failures), 0);
 }
 
+std::uint32_t
+Placement::typicalRunTimePercent(const EndpointView &Endpoint) const {
+  const auto Found = m_MedianByType.find(Endpoint.m_WorkerType);
+  return Found == m_MedianByType.end() ? m_MedianRunTimePercent : Found->second;
+}
+
+/// Workers of one type may all be slower than the median worker, and serve well
+/// what has time enough. Types that are faster are held to the median of all.
+std::uint32_t
+Placement::usualRunTimePercent(const EndpointView &Endpoint) const {
+  return std::max(typicalRunTimePercent(Endpoint), m_MedianRunTimePercent);
+}
+
 EndpointHealth Placement::assess(const RunnerRow &Row) const {
   const EndpointQuality &Quality = Row.m_Load.m_Quality;
-  if (Row.m_Stalled ||
-      Quality.m_RunTimePercent > SlowFactor * m_MedianRunTimePercent)
+  if (Row.m_Stalled || Quality.m_RunTimePercent >
+                           SlowFactor * usualRunTimePercent(Row.m_Endpoint))
     return EndpointHealth::Slow;
   if (Quality.m_FailedPercent >= MinFailedPercent &&
       Quality.m_FailedPercent > FailingFactor * m_MedianFailedPercent)
@@ -148,14 +190,23 @@
   return Cost;
 }
 
+bool Placement::endsOnTime(const RunnerRow &Row, const PlacementQuery &Query,
+                           TimePoint Now) const {
+  const Duration Expected = Query.m_Step->m_Estimate *
+                            typicalRunTimePercent(Row.m_Endpoint) /
+                            WholePercent;
+  return Now + Expected <= Query.m_ObjectiveAt;
+}
+
 std::vector<RunnerIndex> Placement::sample(const std::vector<RunnerRow> &Rows,
                                            const PlacementQuery &Query,
                                            TimePoint Now) {
   const std::size_t First =
       m_Random.below(static_cast<std::uint32_t>(Rows.size()));
-  std::vector<RunnerIndex> Sample;
-  std::uint32_t Candidates = 0;
-  for (std::size_t Step = 0; Step < Rows.size() && Candidates < MaxCandidates;
+  ReservoirSample OnTime;
+  ReservoirSample Late;
+  for (std::size_t Step = 0;
+       Step < Rows.size() && OnTime.m_Seen + Late.m_Seen < MaxCandidates;
        ++Step) {
     const auto Index = static_cast<RunnerIndex>((First + Step) % Rows.size());
     if (!isCandidate(Rows[Index], Query))
@@ -165,17 +216,11 @@
         return {Index};
       continue;
     }
-    ++Candidates;
-    // Each candidate stays in the sample with the same probability.
-    if (Sample.size() < SampleSize) {
-      Sample.push_back(Index);
-      continue;
-    }
-    const std::uint32_t Slot = m_Random.below(Candidates);
-    if (Slot < SampleSize)
-      Sample[Slot] = Index;
+    ReservoirSample &Sample =
+        endsOnTime(Rows[Index], Query, Now) ? OnTime : Late;
+    Sample.add(Index, m_Random);
   }
-  return Sample;
+  return OnTime.m_Rows.empty() ? Late.m_Rows : OnTime.m_Rows;
 }
 
 std::optional<RunnerIndex> Placement::choose(const std::vector<RunnerRow> &Rows,
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -8,7 +8,9 @@
 #include "jobs/RunnerRow.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -21,6 +23,9 @@
   const StepDeclaration *m_Step = nullptr;
   JobId m_Job{};
   std::uint32_t m_StepNumber = 0;
+  /// The job is on time when the task ends by then; max() for jobs that are
+  /// late already.
+  TimePoint m_ObjectiveAt = TimePoint::max();
   /// Agent of the last run that failed or was lost.
   std::optional<RunnerIndex> m_Avoid;
 };
@@ -60,20 +65,30 @@
   /// runs.
   static std::uint64_t capacityInService(const std::vector<RunnerRow> &Rows);
 
-  /// Updates the medians over all endpoints. Scans every row, so it is called
-  /// periodically and not for each choice.
+  /// Updates the medians over all endpoints and over those of each worker type.
+  /// Scans every row, so it is called periodically and not for each choice.
   void updateMedians(const std::vector<RunnerRow> &Rows);
 
   EndpointHealth assess(const RunnerRow &Row) const;
 
+  /// Run time over estimate, in percent, of the endpoints of its worker type;
+  /// of all endpoints when there are too few.
+  std::uint32_t typicalRunTimePercent(const EndpointView &Endpoint) const;
+
+  /// Run time over estimate, in percent, that is usual for the endpoint.
+  std::uint32_t usualRunTimePercent(const EndpointView &Endpoint) const;
+
   /// Median ratio of run time to estimate over all endpoints; 1 when unknown.
   double medianRunTimeRatio() const { return m_MedianRunTimePercent / 100.0; }
 
 private:
-  /// Random sample of the rows that could take the task now; only the ejected
-  /// one to be probed when there is one.
+  /// Random sample of the rows that could take the task now, on time if some
+  /// could; only the ejected one to be probed when there is one.
   std::vector<RunnerIndex> sample(const std::vector<RunnerRow> &Rows,
                                   const PlacementQuery &Query, TimePoint Now);
+  /// Whether the task, started now, is expected to end by its objective.
+  bool endsOnTime(const RunnerRow &Row, const PlacementQuery &Query,
+                  TimePoint Now) const;
   bool isCandidate(const RunnerRow &Row, const PlacementQuery &Query) const;
   bool shouldProbe(const RunnerRow &Row, TimePoint Now);
   double cost(const RunnerRow &Row, const PlacementQuery &Query) const;
@@ -82,6 +97,9 @@
   /// Invariant: not 0.
   std::uint32_t m_MedianRunTimePercent = 100;
   std::uint32_t m_MedianFailedPercent = 0;
+  /// Median run time over estimate by worker type; only types with enough
+  /// endpoints to compare.
+  std::map<std::string, std::uint32_t> m_MedianByType;
 };
 
 } // namespace cyclamencroft
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -188,6 +188,7 @@
     m_Visit("service", Message.m_Service);
     m_Visit("failure domain", Message.m_FailureDomain);
     m_Visit("labels", Message.m_Labels);
+    m_Visit("worker type", Message.m_WorkerType);
     m_Visit("room", Message.m_Capacity);
     m_Visit("state", Message.m_State);
   }
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -39,6 +39,7 @@
 /// capacity allows.
 bool offersSame(const EndpointView &A, const EndpointView &B) {
   return A.m_Service == B.m_Service && A.m_Labels == B.m_Labels &&
+         A.m_WorkerType == B.m_WorkerType &&
          A.m_FailureDomain == B.m_FailureDomain;
 }
 
--- a/tests/unit/FleetModel.cpp
+++ b/tests/unit/FleetModel.cpp
@@ -87,6 +87,13 @@
   feedAgent(Index, Endpoint.heartbeat(m_Now));
 }
 
+void FleetModel::setSpeed(std::size_t Index, double Speed,
+                          std::string WorkerType) {
+  ModelEndpoint &Endpoint = m_Agents[Index].m_Endpoint;
+  Endpoint.setSpeed(Speed, std::move(WorkerType));
+  feedAgent(Index, Endpoint.heartbeat(m_Now));
+}
+
 void FleetModel::step() {
   while (!m_Scheduled.empty() && m_Scheduled.begin()->first <= m_Now) {
     const auto Action = m_Scheduled.begin()->second;
@@ -164,7 +171,7 @@
   ModelEndpoint &Endpoint = m_Agents[Index].m_Endpoint;
   if (!Job.m_RequiredLabel.empty() && !Endpoint.hasLabel(Job.m_RequiredLabel))
     ++m_MisroutedStarts;
-  Endpoint.start(Start, m_Now + Job.m_RunTime);
+  Endpoint.start(Start, m_Now + Endpoint.runTimeOf(Job.m_RunTime));
 }
 
 void FleetModel::receive(std::size_t Entry, std::size_t From,
--- a/tests/unit/FleetModel.h
+++ b/tests/unit/FleetModel.h
@@ -38,6 +38,9 @@
   /// the one that the agent had.
   void replaceEndpoint(std::size_t Index, std::vector<std::string> Labels);
 
+  /// Gives the endpoint of an agent another speed and type of worker.
+  void setSpeed(std::size_t Index, double Speed, std::string WorkerType);
+
   /// Time that messages sent from now on take.
   void setMessageDelay(Duration Delay) { m_MessageDelay = Delay; }
 
--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -229,6 +229,29 @@
   BOOST_TEST(Chosen.size() >= 5U);
 }
 
+// Guards against slow types of workers that count as disturbed, and against a
+// disturbed endpoint that hides among slow ones.
+BOOST_AUTO_TEST_CASE(EndpointsAreComparedWithThoseOfTheirWorkerType) {
+  std::vector<RunnerRow> Rows(16);
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index) {
+    Rows[Index].m_Link = LinkId{Index + 1};
+    Rows[Index].m_Endpoint.m_State = EndpointState::Active;
+    Rows[Index].m_Endpoint.m_WorkerType = Index < 6 ? "slow" : "fast";
+    Rows[Index].m_Load.m_Quality.m_RunTimePercent = Index < 6 ? 190 : 75;
+  }
+  // One of a type with too few endpoints to compare.
+  Rows[15].m_Endpoint.m_WorkerType = "rare";
+  Rows[15].m_Load.m_Quality.m_RunTimePercent = 190;
+  Placement Compared(1);
+  Compared.updateMedians(Rows);
+  BOOST_TEST((Compared.assess(Rows[0]) == EndpointHealth::Healthy));
+  BOOST_TEST((Compared.assess(Rows[15]) == EndpointHealth::Slow));
+  Rows[0].m_Load.m_Quality.m_RunTimePercent = 400;
+  Rows[6].m_Load.m_Quality.m_RunTimePercent = 160;
+  BOOST_TEST((Compared.assess(Rows[0]) == EndpointHealth::Slow));
+  BOOST_TEST((Compared.assess(Rows[6]) == EndpointHealth::Slow));
+}
+
 // Guards against runs that stall at an endpoint until the caller stops waiting:
 // they are stopped and their tasks run elsewhere.
 BOOST_AUTO_TEST_CASE(AStalledRunIsStoppedAndItsTaskRunsElsewhere) {
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -38,6 +38,7 @@
                               "permits",
                               "quimper",
                               {"a", "r1-3"},
+                              "a",
                               {64000, 131072, 2},
                               EndpointState::Draining};
   const EndpointLoad Load{
--- a/tests/unit/ModelEndpoint.cpp
+++ b/tests/unit/ModelEndpoint.cpp
@@ -15,6 +15,7 @@
   Beat.m_Clock = clock(Now);
   Beat.m_View.m_Service = "desk";
   Beat.m_View.m_Labels = m_Labels;
+  Beat.m_View.m_WorkerType = m_WorkerType;
   Beat.m_View.m_Capacity = {wholeCores(m_Cores), 1000000, 0};
   Beat.m_View.m_State = EndpointState::Active;
   return Beat;
@@ -30,6 +31,16 @@
   m_Hold.reset();
 }
 
+void ModelEndpoint::setSpeed(double Speed, std::string WorkerType) {
+  m_Speed = Speed;
+  m_WorkerType = std::move(WorkerType);
+}
+
+Duration ModelEndpoint::runTimeOf(Duration AtFullSpeed) const {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(AtFullSpeed.count()) / m_Speed));
+}
+
 bool ModelEndpoint::hasLabel(const std::string &Label) const {
   return std::find(m_Labels.begin(), m_Labels.end(), Label) != m_Labels.end();
 }
--- a/tests/unit/ModelEndpoint.h
+++ b/tests/unit/ModelEndpoint.h
@@ -18,6 +18,10 @@
   EndpointHeartbeat heartbeat(TimePoint Now);
   /// Ends the process; the next heartbeat is that of another endpoint.
   void replace(std::vector<std::string> Labels);
+  /// Other speed and type of the worker; runs take their run time over \p
+  /// Speed.
+  void setSpeed(double Speed, std::string WorkerType);
+  Duration runTimeOf(Duration AtFullSpeed) const;
   bool hasLabel(const std::string &Label) const;
 
   void start(const CallStart &Call, TimePoint EndsAt);
@@ -38,6 +42,8 @@
 
   const std::uint32_t m_Cores;
   std::vector<std::string> m_Labels;
+  std::string m_WorkerType;
+  double m_Speed = 1;
   /// Unix milliseconds of the start of the present process.
   std::uint64_t m_StartedAtMs = 1000;
   std::uint64_t m_Heartbeats = 0;
