Memory for requests that are being received is bounded

Cause: three parts of what a caller sends had no bound. The buffer of a connection had no maximum, so trailers, and the line before a chunk, grew until the request's 3 s were over. Beast's read operations go on while a piece ends within a chunk's line, so small chunks were never counted between. Connections times the limit of a body exceeded the memory of a host. Besides, buffers and large freed blocks were kept.

Ruled out: the parser's own limits, which count header fields and the body only; fragmentation of the heap as the main cause of the small chunks' memory (a threshold of 8 KB for blocks that are returned left 60 MB).

Change: the buffer holds a header, 16 KiB at entries, and 4 KiB; pieces are read one at a time and counted against one budget of the listener, 16 MiB (limits.receive_mib); when it runs short, the requests with the most bytes times age get 503. Listeners for operators and endpoints have smaller limits.

--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -65,8 +65,9 @@
   return Options;
 }
 
-HttpServer::Limits callerLimits() {
+HttpServer::Limits callerLimits(const JobEntrySettings &Settings) {
   HttpServer::Limits Limits;
+  Limits.m_ReceiveBytes = std::size_t{Settings.m_ReceiveMiB} * 1024 * 1024;
   Limits.m_HeaderBytes = std::size_t{16} * 1024;
   Limits.m_BodyBytes = std::size_t{512} * 1024;
   Limits.m_MaxConnections = 3000;
@@ -98,13 +99,13 @@
             [this](const std::shared_ptr<HttpExchange> &Exchange) {
               serveCaller(Exchange);
             },
-            callerLimits()),
+            callerLimits(Settings)),
         m_ReadyServer(
             m_HttpIo, Settings.m_ReadyListen,
             [this](const std::shared_ptr<HttpExchange> &Exchange) {
               Exchange->respond({m_Ready ? Ok : Unavailable, {}, ""});
             },
-            HttpServer::Limits{}),
+            HttpServer::operatorLimits()),
         m_MetricsServer(
             m_HttpIo, Settings.m_MetricsListen,
             [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -112,7 +113,7 @@
                                  {{"Content-Type", "text/plain"}},
                                  m_Metrics.toPrometheus()});
             },
-            HttpServer::Limits{}) {}
+            HttpServer::operatorLimits()) {}
 
   bool run() {
     logEvent(LogLevel::Info, "started",
@@ -292,6 +293,10 @@
     m_Metrics.set("jobs_not_run_total", Status.m_JobsNotRun);
     m_Metrics.set("jobs_given_up_total", Status.m_JobsGivenUp);
     m_Metrics.set("jobs_cancelled_total", Status.m_JobsCancelled);
+    for (const HttpRefusal Cause : AllHttpRefusals)
+      m_Metrics.set("requests_refused_" + std::string(toString(Cause)) +
+                        "_total",
+                    m_JobServer.refusals().count(Cause));
     m_Metrics.set("starts_total", Status.m_Starts);
     m_Metrics.set("start_refusals_total", Status.m_Refusals);
     m_Metrics.set("retries_total", Status.m_Retries);
--- a/apps/PlatformMain.h
+++ b/apps/PlatformMain.h
@@ -9,6 +9,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -17,6 +19,11 @@
 
 namespace cyclamencroft {
 
+/// Memory blocks of this size and larger are returned to the system when they
+/// are freed. Otherwise the C library raises the limit after the first large
+/// request, and later ones fragment the heap.
+constexpr int ReturnedBlockBytes = 32 * 1024;
+
 /// Returns the settings that \p Read reads from \p File, or nothing after
 /// printing all errors in them.
 template <class Settings>
@@ -46,6 +53,7 @@
               boost::leaf::result<Settings> (*Read)(const std::string &),
               F Serve) {
   holdStartupSignals();
+  mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
   CLI::App App(Description);
   std::string File;
   bool CheckOnly = false;
--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -84,6 +84,14 @@
   return Options;
 }
 
+/// Of the listener for the one endpoint on the agent's host.
+HttpServer::Limits endpointLimits() {
+  HttpServer::Limits Limits;
+  Limits.m_MaxConnections = 256;
+  Limits.m_ReceiveBytes = std::size_t{4} * 1024 * 1024;
+  return Limits;
+}
+
 } // namespace
 
 class RunAgentDaemon::Impl {
@@ -104,14 +112,14 @@
             [this](const std::shared_ptr<HttpExchange> &Exchange) {
               serveEndpoint(*Exchange);
             },
-            HttpServer::Limits{}),
+            endpointLimits()),
         m_MetricsServer(
             m_Io, Settings.m_MetricsListen,
             [this](const std::shared_ptr<HttpExchange> &Exchange) {
               Exchange->respond(
                   {Ok, {{"Content-Type", "text/plain"}}, metricsPage()});
             },
-            HttpServer::Limits{}) {}
+            HttpServer::operatorLimits()) {}
 
   void run() {
     logEvent(LogLevel::Info, "started",
--- a/include/cyclamencroft/JobEntrySettings.h
+++ b/include/cyclamencroft/JobEntrySettings.h
@@ -3,6 +3,7 @@
 
 #include "core/RuntimeClock.h"
 
+#include <cstdint>
 #include <string>
 
 namespace cyclamencroft {
@@ -20,6 +21,8 @@
   std::string m_MetricsListen = "127.0.0.1:0";
   /// "IP:port" of the platform's store.
   std::string m_StoreAddress;
+  /// Memory for callers' requests that are being received or handled.
+  std::uint32_t m_ReceiveMiB = 16;
   /// Longest lease of a run that an endpoint grants.
   Duration m_EndpointLease{std::chrono::seconds(1)};
   /// Time for which work is still accepted after a termination signal, because
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -24,10 +24,8 @@
 public:
   Impl(boost::asio::io_context &Io, Handler Handle, Limits Limit)
       : m_Io(Io), m_Strand(boost::asio::make_strand(Io)), m_Acceptor(m_Strand),
-        m_RetryTimer(m_Strand), m_State(std::make_shared<HttpServerState>()) {
-    m_State->m_Handle = std::move(Handle);
-    m_State->m_Limits = std::move(Limit);
-  }
+        m_RetryTimer(m_Strand), m_State(std::make_shared<HttpServerState>(
+                                    std::move(Handle), std::move(Limit))) {}
 
   void listen(const std::string &Listen) {
     const auto Address = parseSocketAddress(Listen);
@@ -60,6 +58,8 @@
     });
   }
 
+  const HttpRefusals &refusals() const { return m_State->m_Refusals; }
+
   std::size_t connections() const {
     const std::lock_guard<std::mutex> Lock(m_State->m_Mutex);
     return m_State->m_Sessions.size();
@@ -132,6 +132,14 @@
   std::shared_ptr<HttpServerState> m_State;
 };
 
+HttpServer::Limits HttpServer::operatorLimits() {
+  Limits Reduced;
+  Reduced.m_BodyBytes = std::size_t(16) * 1024;
+  Reduced.m_ReceiveBytes = std::size_t(1024) * 1024;
+  Reduced.m_MaxConnections = 256;
+  return Reduced;
+}
+
 HttpServer::HttpServer(boost::asio::io_context &Io, const std::string &Listen,
                        Handler Handle, Limits Limit)
     : m_Impl(std::make_shared<Impl>(Io, std::move(Handle), std::move(Limit))) {
@@ -146,6 +154,8 @@
 
 void HttpServer::stopAccepting() { m_Impl->stopAccepting(); }
 
+const HttpRefusals &HttpServer::refusals() const { return m_Impl->refusals(); }
+
 std::size_t HttpServer::connections() const { return m_Impl->connections(); }
 
 void HttpServer::stop() { m_Impl->stop(); }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/RuntimeClock.h"
+#include "http/HttpRefusals.h"
 #include "http/HttpTypes.h"
 
 #include <boost/beast/http/message.hpp>
@@ -42,8 +43,13 @@
 class HttpServer {
 public:
   struct Limits {
+    /// Also bounds trailers and the extensions of a chunk.
     std::size_t m_HeaderBytes = std::size_t(8) * 1024;
     std::size_t m_BodyBytes = std::size_t(1024) * 1024;
+    /// Memory for requests of all connections that are being received or
+    /// handled. When it runs short, the connections that hold the most for the
+    /// longest receive status 503 and are closed.
+    std::size_t m_ReceiveBytes = std::size_t(16) * 1024 * 1024;
     /// Connections above this number receive status 503 and are closed.
     std::size_t m_MaxConnections = 4096;
     /// From the first byte of a request to its last; status 408 after that.
@@ -56,6 +62,10 @@
     /// a connection.
     HttpHeaders m_RefusalHeaders;
   };
+  /// Of listeners for operators and load balancers, whose requests have no
+  /// bodies and which keep few connections open.
+  static Limits operatorLimits();
+
   using Request = HttpRequest;
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
@@ -79,6 +89,9 @@
   /// after their response.
   void stopAccepting();
 
+  /// Requests and connections that this server has refused by itself.
+  const HttpRefusals &refusals() const;
+
   /// Number of open connections.
   std::size_t connections() const;
 
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -6,10 +6,11 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <exception>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t BodyReadBytes = std::size_t{16} * 1024;
 /// After the last response, input is discarded for this long, because closing
 /// a socket with unread input resets the connection and may lose the response.
 constexpr Duration LingerTime{std::chrono::seconds(1)};
@@ -104,23 +106,25 @@
 HttpSession::HttpSession(Socket Connection,
                          std::shared_ptr<HttpServerState> Server)
     : m_Socket(std::move(Connection)), m_Server(std::move(Server)),
-      m_Timer(m_Socket.get_executor()) {}
+      m_Timer(m_Socket.get_executor()),
+      m_Buffer(m_Server->m_Limits.m_HeaderBytes + ReadBytes) {}
 
 HttpSession::~HttpSession() {
   const std::lock_guard<std::mutex> Lock(m_Server->m_Mutex);
   m_Server->m_Sessions.erase(this);
+  m_Server->m_Budget.release(this);
 }
 
 void HttpSession::start(bool Refused) {
   ErrorCode Ignored;
   m_Socket.set_option(tcp::no_delay(true), Ignored);
-  boost::asio::dispatch(m_Socket.get_executor(),
-                        [Self = shared_from_this(), Refused] {
-                          if (Refused)
-                            Self->refuse(503, "too many connections");
-                          else
-                            Self->awaitRequest();
-                        });
+  boost::asio::dispatch(
+      m_Socket.get_executor(), [Self = shared_from_this(), Refused] {
+        if (Refused)
+          Self->refuse(503, "too many connections", HttpRefusal::Connections);
+        else
+          Self->awaitRequest();
+      });
 }
 
 void HttpSession::awaitRequest() {
@@ -146,42 +150,138 @@
 
 void HttpSession::readRequest() {
   m_Parser.emplace();
+  m_ExceedsMemory = false;
   m_Parser->header_limit(
       static_cast<std::uint32_t>(m_Server->m_Limits.m_HeaderBytes));
   m_Parser->body_limit(m_Server->m_Limits.m_BodyBytes);
+  // Otherwise the parser stops after the header.
+  m_Parser->eager(true);
   armTimer(m_Server->m_Limits.m_RequestTimeout);
-  http::async_read(m_Socket, m_Buffer, *m_Parser,
-                   [Self = shared_from_this()](ErrorCode Fault, std::size_t) {
-                     Self->requestRead(Fault);
-                   });
+  parseInput();
 }
 
-void HttpSession::requestRead(ErrorCode Fault) {
-  stopTimer();
-  if (Fault)
+/// Reads and parses piece by piece, so that the memory of the request is
+/// counted after each piece: Beast's own read operations go on while a piece
+/// ends within a chunk's line, which a sender of small chunks can bring about
+/// for ever.
+void HttpSession::parseInput() {
+  ErrorCode Fault;
+  std::size_t Parsed = 1;
+  while (m_Buffer.size() != 0 && Parsed != 0 && !Fault &&
+         !m_Parser->is_done()) {
+    Parsed = m_Parser->put(m_Buffer.data(), Fault);
+    m_Buffer.consume(Parsed);
+  }
+  if (Fault && Fault != http::error::need_more) {
+    stopTimer();
     return refuseRequest(Fault);
-  handleRequest();
+  }
+  if (m_Parser->is_done()) {
+    stopTimer();
+    releaseSpareBuffer();
+    chargeBudget();
+    return handleRequest();
+  }
+  if (m_Buffer.size() == m_Buffer.max_size()) {
+    stopTimer();
+    return refuseRequest(http::error::buffer_overflow);
+  }
+  chargeBudget();
+  readMore();
+}
+
+void HttpSession::readMore() {
+  const std::size_t Wanted =
+      m_Parser->is_header_done() ? BodyReadBytes : ReadBytes;
+  const std::size_t Free = m_Buffer.max_size() - m_Buffer.size();
+  m_Socket.async_read_some(
+      m_Buffer.prepare(std::min(Wanted, Free)),
+      [Self = shared_from_this()](ErrorCode Fault, std::size_t Bytes) {
+        Self->m_Buffer.commit(Bytes);
+        Self->inputRead(Fault);
+      });
+}
+
+void HttpSession::inputRead(ErrorCode Fault) {
+  if (m_ExceedsMemory) {
+    stopTimer();
+    return refuse(503, "too many requests are being received",
+                  HttpRefusal::Memory);
+  }
+  if (!Fault && !m_TimedOut)
+    return parseInput();
+  stopTimer();
+  refuseRequest(Fault);
+}
+
+/// What was read beyond the request, a pipelined one, is kept.
+void HttpSession::releaseSpareBuffer() {
+  if (m_Buffer.size() == 0)
+    m_Buffer.shrink_to_fit();
+}
+
+std::size_t HttpSession::receivedBytes() const {
+  // A declared body is reserved at once, but takes memory as it arrives.
+  const std::string &Body = m_Parser->get().body();
+  return m_Buffer.capacity() + std::min(Body.capacity(), 2 * Body.size());
+}
+
+/// May select this connection or others to be refused.
+void HttpSession::chargeBudget() {
+  std::vector<std::shared_ptr<HttpSession>> Refused;
+  {
+    const std::lock_guard<std::mutex> Lock(m_Server->m_Mutex);
+    for (const ReceiveBudget::Connection Each : m_Server->m_Budget.receive(
+             this, RuntimeClock::now(), receivedBytes(), m_Parser->is_done()))
+      if (auto Session = m_Server->m_Sessions.at(Each).lock())
+        Refused.push_back(std::move(Session));
+  }
+  for (const auto &Session : Refused)
+    Session->refuseForMemory();
+}
+
+void HttpSession::releaseBudget() {
+  const std::lock_guard<std::mutex> Lock(m_Server->m_Mutex);
+  m_Server->m_Budget.release(this);
+}
+
+void HttpSession::refuseForMemory() {
+  boost::asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    // The request may have been completed, refused or cut off meanwhile.
+    if (Self->m_Handling || Self->m_Response || !Self->m_Parser)
+      return;
+    Self->m_ExceedsMemory = true;
+    ErrorCode Ignored;
+    Self->m_Socket.cancel(Ignored); // Ends the read of readMore().
+  });
 }
 
 void HttpSession::refuseRequest(ErrorCode Fault) {
   if (m_TimedOut)
-    return refuse(408, "request took too long to arrive");
+    return refuse(408, "request took too long to arrive", HttpRefusal::Timeout);
   if (Fault == http::error::header_limit ||
       Fault == http::error::buffer_overflow)
-    return refuse(431, "request header exceeds the limit");
+    return refuse(431, "header, trailer or chunk extension exceeds the limit",
+                  HttpRefusal::Header);
   if (Fault == http::error::body_limit)
-    return refuse(413, "request body exceeds the limit");
+    return refuse(413, "request body exceeds the limit", HttpRefusal::Body);
   const bool Malformed =
       Fault.category() ==
           http::make_error_code(http::error::bad_method).category() &&
       Fault != http::error::end_of_stream &&
       Fault != http::error::partial_message;
   if (Malformed)
-    return refuse(400, "malformed request: " + Fault.message());
+    return refuse(400, "malformed request: " + Fault.message(),
+                  HttpRefusal::Malformed);
   closeSocket();
 }
 
-void HttpSession::refuse(unsigned Status, const std::string &Text) {
+void HttpSession::refuse(unsigned Status, const std::string &Text,
+                         HttpRefusal Cause) {
+  m_Server->m_Refusals.record(Cause, RuntimeClock::now());
+  // Nothing of the request is needed any more.
+  m_Parser.reset();
+  releaseBudget();
   HttpResponse Response = plainResponse(Status, Text);
   for (const auto &Header : m_Server->m_Limits.m_RefusalHeaders)
     Response.m_Headers.push_back(Header);
@@ -275,6 +375,7 @@
 void HttpSession::written(bool KeepAlive) {
   m_Response.reset();
   m_Parser.reset();
+  releaseBudget();
   if (KeepAlive)
     return awaitRequest();
   ErrorCode Ignored;
@@ -308,6 +409,7 @@
 
 void HttpSession::closeSocket() {
   m_Handling = false;
+  releaseBudget();
   stopTimer();
   ErrorCode Ignored;
   m_Socket.close(Ignored);
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -3,6 +3,7 @@
 
 #include "core/RuntimeTimer.h"
 #include "http/HttpServer.h"
+#include "http/ReceiveBudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,19 +24,26 @@
 
 /// State that the sessions of one server share.
 struct HttpServerState {
-  HttpServer::Handler m_Handle;
-  HttpServer::Limits m_Limits;
+  HttpServerState(HttpServer::Handler Handle, HttpServer::Limits Limits)
+      : m_Handle(std::move(Handle)), m_Limits(std::move(Limits)),
+        m_Budget(m_Limits.m_ReceiveBytes) {}
+
+  const HttpServer::Handler m_Handle;
+  const HttpServer::Limits m_Limits;
+  HttpRefusals m_Refusals;
   /// Set by closeAfterResponses() and stopAccepting(): connections are closed
   /// after their response.
   std::atomic<bool> m_Draining{false};
 
   std::mutex m_Mutex;
   /// Guarded by m_Mutex. The destructor of a session removes it.
-  std::unordered_map<HttpSession *, std::weak_ptr<HttpSession>> m_Sessions;
+  std::unordered_map<const void *, std::weak_ptr<HttpSession>> m_Sessions;
+  /// Guarded by m_Mutex.
+  ReceiveBudget m_Budget;
 };
 
-/// A session runs on its strand; only respond(), close() and closeIfIdle() may
-/// be called from outside it.
+/// A session runs on its strand; only respond(), close(), closeIfIdle() and
+/// refuseForMemory() may be called from outside it.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
@@ -56,6 +64,8 @@
   void close();
   /// Closes a connection on which no request has begun.
   void closeIfIdle();
+  /// Refuses the request that is being received.
+  void refuseForMemory();
 
 private:
   using ErrorCode = boost::system::error_code;
@@ -63,9 +73,16 @@
 
   void awaitRequest();
   void readRequest();
-  void requestRead(ErrorCode Fault);
+  void parseInput();
+  void readMore();
+  void inputRead(ErrorCode Fault);
+  /// Memory that the request takes so far.
+  std::size_t receivedBytes() const;
+  void releaseSpareBuffer();
+  void chargeBudget();
+  void releaseBudget();
   void refuseRequest(ErrorCode Fault);
-  void refuse(unsigned Status, const std::string &Text);
+  void refuse(unsigned Status, const std::string &Text, HttpRefusal Cause);
   void handleRequest();
   void watchForDisconnect();
   void callerReadable();
@@ -80,6 +97,8 @@
   std::shared_ptr<HttpServerState> m_Server;
   boost::asio::basic_waitable_timer<RuntimeClock, RuntimeWaitTraits, Strand>
       m_Timer;
+  /// Holds what the parser has not consumed yet: at most a header, a trailer or
+  /// the line before a chunk.
   boost::beast::flat_buffer m_Buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
@@ -95,6 +114,8 @@
   /// True while the first byte of a request is awaited.
   bool m_Idle = false;
   bool m_TimedOut = false;
+  /// The server has selected this connection to free memory.
+  bool m_ExceedsMemory = false;
   /// Incremented when the timer is armed or stopped, so that an expiry queued
   /// before has no effect.
   std::uint64_t m_TimerGeneration = 0;
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -62,6 +62,7 @@
 }
 
 const NumberRange<std::uint32_t> LeaseTime{100, 60000, "ms"};
+const NumberRange<std::uint32_t> ReceiveMemory{1, 65536, "MiB"};
 const NumberRange<std::uint32_t> ShutdownDelay{0, 60000, "ms"};
 const NumberRange<std::uint32_t> HeartbeatTime{50, 60000, "ms"};
 const NumberRange<std::uint32_t> PortNumber{1, 65535, "port"};
@@ -84,6 +85,10 @@
               "listener for metrics; port 0 takes a free one"),
       required(textKey("store.address", &S::m_StoreAddress, AddressFormat,
                        "address of the platform's store")),
+      integerKey("limits.receive_mib", &S::m_ReceiveMiB, ReceiveMemory,
+                 "memory for callers' requests that are being received or "
+                 "handled; when it runs short, those that hold the most for "
+                 "the longest are refused"),
       millisecondsKey("endpoint_lease_ms", &S::m_EndpointLease, LeaseTime,
                       "longest lease of a run that endpoints grant"),
       millisecondsKey("linger_ms", &S::m_ShutdownDelay, ShutdownDelay,
--- a/tests/soak/DaemonProcess.h
+++ b/tests/soak/DaemonProcess.h
@@ -26,6 +26,9 @@
   /// Limit or exits with an error.
   bool terminate(std::chrono::milliseconds Limit);
 
+  /// 0 while no process runs.
+  pid_t pid() const { return m_Process ? m_Process->pid() : 0; }
+
   const std::string &name() const { return m_Name; }
   /// Distinguishes the process from those before its restarts.
   std::string incarnation() const {
--- a/tests/unit/HttpTest.cpp
+++ b/tests/unit/HttpTest.cpp
@@ -94,6 +94,38 @@
 
 BOOST_AUTO_TEST_SUITE(Http)
 
+// Guards against trailers and chunk extensions that no limit counts, in one
+// piece or in many, against small chunks that the memory does not count, and
+// against a chunked request within the limits that is refused.
+BOOST_AUTO_TEST_CASE(EveryPartOfAChunkedRequestHasALimit) {
+  HttpServer::Limits Limits;
+  Limits.m_HeaderBytes = 1024;
+  Limits.m_ReceiveBytes = std::size_t{64} * 1024;
+  RunningServer Running(echo, Limits);
+  const std::string Head = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Long(8192, 'x');
+  std::string Lines;
+  while (Lines.size() < Long.size())
+    Lines += "X-Trailer: x\r\n";
+  std::string SmallChunks;
+  while (SmallChunks.size() < std::size_t{256} * 1024)
+    SmallChunks += "1\r\nb\r\n";
+  const auto Answer = [&](const std::string &Rest) {
+    return sendAndReadAll(Running.server().port(), Head + Rest);
+  };
+  const std::string Served =
+      Answer("1;e=1\r\na\r\n2\r\nbc\r\n0\r\nX-Trailer: x\r\n\r\n");
+  BOOST_TEST(startsWith(Served, "HTTP/1.1 200"));
+  BOOST_TEST(Served.substr(Served.size() - 3) == "abc");
+  BOOST_TEST(startsWith(Answer("0\r\nX-Trailer: " + Long), "HTTP/1.1 431"));
+  BOOST_TEST(startsWith(Answer("0\r\n" + Lines), "HTTP/1.1 431"));
+  BOOST_TEST(startsWith(Answer("1;" + Long), "HTTP/1.1 431"));
+  BOOST_TEST(startsWith(Answer(SmallChunks), "HTTP/1.1 503"));
+  BOOST_TEST(Running.server().refusals().count(HttpRefusal::Header) == 3U);
+  BOOST_TEST(Running.server().refusals().count(HttpRefusal::Memory) == 1U);
+}
+
 // Guards against bodies or headers lost between client, handler and response,
 // also when the response comes from another thread.
 BOOST_AUTO_TEST_CASE(ResponsesMayComeFromAnyThread) {
--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -86,8 +86,12 @@
 
 // Guards against a malformed body that crashes an entry or starts tasks.
 BOOST_AUTO_TEST_CASE(MalformedJobsAreRefusedWithAReason) {
+  const std::string Oversized = R"({"specification":")" +
+                                std::string(4001, 's') +
+                                R"(","steps":[{"count":1}]})";
   for (const char *Text :
-       {"", "[]", "{", R"({"steps":[]})", R"({"specification":"","steps":[]})",
+       {Oversized.c_str(), "", "[]", "{", R"({"steps":[]})",
+        R"({"specification":"","steps":[]})",
         R"({"specification":"","steps":[{"count":0}]})",
         R"({"specification":"","steps":[{"count":-1}]})",
         R"({"specification":"","steps":[{"count":99999}]})",
@@ -112,7 +116,7 @@
 // operators an id that no caller has sent.
 BOOST_AUTO_TEST_CASE(JobIdsKeepTheCaseOfTheirDigits) {
   const auto Lower = parseJobId("abcdef0123456789");
-  for (const std::string Text :
+  for (const char *Text :
        {"ABCDEF0123456789", "aBcDeF0123456789", "abcdef0123456789",
         "0000000000000000", "000000000000000F", "FFFFFFFFFFFFFFFF"}) {
     const auto Id = parseJobId(Text);
