--- a/tests/unit/PlatformWireTest.cpp
+++ b/tests/unit/PlatformWireTest.cpp
@@ -116,7 +116,7 @@
 // operators an id that no caller has sent.
 BOOST_AUTO_TEST_CASE(JobIdsKeepTheCaseOfTheirDigits) {
   const auto Lower = parseJobId("abcdef0123456789");
-  for (const char *Text :
+  for (const std::string Text :
        {"ABCDEF0123456789", "aBcDeF0123456789", "abcdef0123456789",
         "0000000000000000", "000000000000000F", "FFFFFFFFFFFFFFFF"}) {
     const auto Id = parseJobId(Text);
