Responses of a connection and metrics of an entry have files of their own

Change: writing moves to HttpSessionResponse.cpp, the names of metrics to JobEntryMetrics; nothing else changes.

--- a/apps/JobEntryDaemon.cpp
+++ b/apps/JobEntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "CoreLoop.h"
 #include "EventLoop.h"
 #include "JobCallers.h"
+#include "JobEntryMetrics.h"
 
 #include "core/RcuPointer.h"
 #include "core/RuntimeTimer.h"
@@ -280,26 +281,8 @@
     m_NextMetricsUpdate = Now + std::chrono::seconds(1);
     m_Metrics.set("config_version", m_Adopted ? m_Adopted->version() : 0);
     m_Metrics.set("ready", m_Ready ? 1 : 0);
-    m_Metrics.set("agents", Status.m_Agents);
-    m_Metrics.set("endpoints_active", Status.m_ActiveEndpoints);
-    m_Metrics.set("endpoints_evacuated", Status.m_EvacuatedEndpoints);
-    m_Metrics.set("domains_evacuated", Status.m_EvacuatedDomains);
-    m_Metrics.set("jobs", Status.m_Jobs);
-    m_Metrics.set("jobs_waiting", Status.m_WaitingJobs);
-    m_Metrics.set("runs", Status.m_Runs);
-    m_Metrics.set("jobs_offered_total", Status.m_JobsOffered);
-    m_Metrics.set("jobs_completed_total", Status.m_JobsCompleted);
-    m_Metrics.set("jobs_failed_total", Status.m_JobsFailed);
-    m_Metrics.set("jobs_not_run_total", Status.m_JobsNotRun);
-    m_Metrics.set("jobs_given_up_total", Status.m_JobsGivenUp);
-    m_Metrics.set("jobs_cancelled_total", Status.m_JobsCancelled);
-    for (const HttpRefusal Cause : AllHttpRefusals)
-      m_Metrics.set("requests_refused_" + std::string(toString(Cause)) +
-                        "_total",
-                    m_JobServer.refusals().count(Cause));
-    m_Metrics.set("starts_total", Status.m_Starts);
-    m_Metrics.set("start_refusals_total", Status.m_Refusals);
-    m_Metrics.set("retries_total", Status.m_Retries);
+    exportStatus(m_Metrics, Status);
+    exportRefusals(m_Metrics, m_JobServer.refusals());
   }
 
   /// Handles a record of the operators' topic.
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -1,4 +1,5 @@
 // One connection of the HTTP server. Private to src/http/; includes Beast.
+// HttpSession.cpp reads requests, HttpSessionResponse.cpp writes responses.
 #pragma once
 
 #include "core/RuntimeTimer.h"
--- a/tests/unit/DomainCommandsTest.cpp
+++ b/tests/unit/DomainCommandsTest.cpp
@@ -105,6 +105,7 @@
     Words.insert(Words.end(),
                  {"--store", "127.0.0.1:" + std::to_string(m_Server->port())});
     std::vector<const char *> Arguments;
+    Arguments.reserve(Words.size());
     for (const std::string &Word : Words)
       Arguments.push_back(Word.c_str());
     std::ostringstream Out;
