--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -528,6 +528,39 @@
             file.write(render(template, values))
         return Machine(name, program, path, self.folder, self.record)
 
+    def lead_links_through(self, agent, paths):
+        """Lets the links of an agent to some entries take other paths: the agent
+        reads their addresses in the announcements, and its seeds are stale."""
+        settings = os.path.join(self.folder, agent + ".toml")
+        with open(settings, encoding="utf-8") as file:
+            text = file.read()
+        serve = self.store.serve
+        routes = []
+        for entry, listen in paths.items():
+            routes.append((self.address(10 + entry, self.link_port), listen))
+            text = text.replace('"%s"' % self.address(10 + entry, self.control_port),
+                                '"%s"' % self.address(90 + entry, self.control_port))
+        with open(settings, "w", encoding="utf-8") as file:
+            file.write(text)
+
+        async def serve_through(client, request):
+            status, body = await serve(client, request)
+            if client != agent or request.query.get("topic") != "keyed.entries":
+                return status, body
+            for address, listen in routes:
+                if isinstance(body, bytes):
+                    # Records carry their length, so the texts have to be as long.
+                    assert len(address) == len(listen)
+                    body = body.replace(address.encode(), listen.encode())
+                    continue
+                for item in body.get("items", []):
+                    value = base64.b64decode(item["value"])
+                    item["value"] = base64.b64encode(
+                        value.replace(address.encode(), listen.encode())).decode()
+            return status, body
+
+        self.store.serve = serve_through
+
     def route(self, name, prefix, service="desk", **more):
         return dict({"name": name, "host": "desk.example", "path_prefix": prefix,
                      "kind": "unsafe", "timeout_ms": 1500, "target_latency_ms": 60,
