An announced endpoint is taken up only when its process has answered

The entries started the tasks elsewhere at once, beside the first runs (4 tasks, 1.0 s each); the real endpoint's heartbeats were ignored from then on.

Cause: a heartbeat was believed because it was newer. Trace: runs-lost reason=endpoint-restarted at the moment of the heartbeat, no call in between; endpoint-lost reason=hold-refused 40 ms later; heartbeat-ignored for the real endpoint. Ruled out: entries, leases, the recipient check of calls.

Change: a heartbeat of another process makes it a candidate. It becomes the endpoint once it has answered a hold at its address as the announced process, and the earlier process has lost that address, its runs or is known to be gone. A next process at the same address is taken up with the first answer. Related: an earlier announcement of another writer no longer hides the endpoint, and a heartbeat with the endpoint's name but another address or service is ignored.

Compared with service and address of the settings instead: a heartbeat with both right would still have ended the runs.

Tests: suite RunnerAnnouncements.

--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -101,7 +101,7 @@
         m_Loop(m_Io, m_Core, loopHandlers()), m_ShutdownTimer(m_Io),
         m_Signals(m_Io, SIGTERM, SIGINT), m_Reload(m_Io, Settings.m_Id),
         m_StartStopPool(m_Io, StartStopConnections), m_HoldPool(m_Io, 1),
-        m_Entries(m_Io, entryHandlers()),
+        m_ProbePool(m_Io, 1), m_Entries(m_Io, entryHandlers()),
         m_Follower(m_Io, platform::makeTopicStore(Settings.m_StoreAddress),
                    {platform::EntriesTopic, "", AnnouncementWait},
                    [this](const KeyedRecord &Record) {
@@ -216,6 +216,16 @@
       m_Loop.feed(platform::readHold(Number, Outcome));
     });
   }
+  // A pool of its own: nothing may answer at the address, and hold calls must
+  // not wait for that.
+  void carryOut(const CallProbe &Command) {
+    HttpCall Call = platform::encodeProbe(Command.m_Call);
+    Call.m_Timeout = Command.m_Timeout;
+    m_ProbePool.call(std::move(Call), [this, Number = Command.m_Number](
+                                          const HttpOutcome &Outcome) {
+      m_Loop.feed(platform::readProbe(Number, Outcome));
+    });
+  }
   void carryOut(const LogDecision &Command) {
     EventLog::write(LogLevel::Info, Command.m_Event, Command.m_Fields);
   }
@@ -268,6 +278,7 @@
   ReloadSignal m_Reload;
   HttpConnectionPool m_StartStopPool;
   HttpConnectionPool m_HoldPool;
+  HttpConnectionPool m_ProbePool;
   EntryDirectory m_Entries;
   TopicFollower m_Follower;
   HttpServer m_EndpointServer;
--- a/src/runs/RunEvents.h
+++ b/src/runs/RunEvents.h
@@ -101,6 +101,13 @@
   std::vector<EndedRun> m_Ended;
 };
 
+struct ProbeAnswered {
+  std::uint64_t m_Call = 0;
+  CallFault m_Fault = CallFault::None;
+  bool m_Fenced = false;
+  std::uint64_t m_StartedAtMs = 0;
+};
+
 /// A connection to an entry is open; the core answers with a RunnerHello.
 struct RunnerLinkOpened {
   LinkId m_Link{};
@@ -109,8 +116,8 @@
 
 using RunnerEvent =
     std::variant<EndpointHeartbeat, EndpointGoodbye, StartAnswered,
-                 StopAnswered, HoldAnswered, RunnerLinkOpened, MessageReceived,
-                 LinkClosed, ShutdownRequested, Tick>;
+                 StopAnswered, HoldAnswered, ProbeAnswered, RunnerLinkOpened,
+                 MessageReceived, LinkClosed, ShutdownRequested, Tick>;
 
 /// Address and recipient of a call, and the fencing token that authorises it.
 /// Invariant: calls that start or stop runs take effect at this incarnation or
@@ -151,7 +158,15 @@
   Duration m_Timeout{};
 };
 
+/// Asks which process answers at an announced address; has no other effect.
+struct CallProbe {
+  EndpointCall m_Call;
+  std::uint64_t m_Number = 0;
+  /// The call fails with CallFault::NoAnswer after this time.
+  Duration m_Timeout{};
+};
+
 using RunnerCommand = std::variant<SendMessage, CloseLink, CallStart, CallStop,
-                                   CallHold, LogDecision, Drained>;
+                                   CallHold, CallProbe, LogDecision, Drained>;
 
 } // namespace cyclamencroft
--- a/src/runs/RunnerCore.cpp
+++ b/src/runs/RunnerCore.cpp
@@ -37,9 +37,9 @@
 }
 
 TimePoint RunnerCore::Impl::nextWakeup() const {
-  TimePoint Next = m_Waiting.nextWaitExpiry();
+  TimePoint Next = std::min(m_Waiting.nextWaitExpiry(), candidateWakeup());
   if (!m_EndpointIncarnation.m_Id.empty() && m_Runs.empty())
-    Next = m_HeartbeatAt + m_Options.m_HeartbeatTimeout;
+    Next = std::min(Next, m_HeartbeatAt + m_Options.m_HeartbeatTimeout);
   if (!m_HoldPending && needsHold())
     Next = std::min(Next, m_NextHoldAt);
   if (m_Unresponsive && !m_Runs.empty())
@@ -77,6 +77,7 @@
   const bool Idle = !m_EndpointIncarnation.m_Id.empty() && m_Runs.empty();
   if (Idle && m_Now >= m_HeartbeatAt + m_Options.m_HeartbeatTimeout)
     markEndpointLost("no-heartbeat");
+  expireCandidate();
   if (m_Unresponsive && !m_Runs.empty() && m_Now >= m_Clock.latestLeaseExpiry())
     endRunsAsLost("leases-lapsed");
   refuseWaiting(
@@ -96,6 +97,9 @@
 }
 
 void RunnerCore::Impl::runPendingActions() {
+  if (candidateReplacesEndpoint())
+    adoptCandidate();
+  probeCandidate();
   startWaiting();
   if (offeredState() != m_ReportedState)
     reportEndpoint();
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -1,9 +1,11 @@
 // State and member functions of the decision core of a run agent.
 // RunnerCore.cpp implements events and timers, RunnerLinks.cpp the messages and
-// leases of entries, RunnerRuns.cpp the states of a run, RunnerEndpoint.cpp the
-// state of the endpoint.
+// leases of entries, RunnerRuns.cpp the states of a run,
+// RunnerAnnouncements.cpp the announcements of endpoints, RunnerEndpoint.cpp
+// the state of the endpoint.
 #pragma once
 
+#include "runs/EndpointCandidate.h"
 #include "runs/EndpointLeaseClock.h"
 #include "runs/EndpointMeter.h"
 #include "runs/EntryLink.h"
@@ -12,6 +14,7 @@
 
 #include <initializer_list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +67,7 @@
   void onEvent(const StartAnswered &Event);
   void onEvent(const StopAnswered &Event);
   void onEvent(const HoldAnswered &Event);
+  void onEvent(const ProbeAnswered &Event);
   void onEvent(const RunnerLinkOpened &Event);
   void onEvent(const MessageReceived &Event);
   void onEvent(const LinkClosed &Event);
@@ -126,9 +130,21 @@
   void endRunsAsLost(std::string_view Cause);
   void endAsNotStarted(const RunName &Name, StartRefusal Reason);
 
-  // Endpoint.
+  // Announcements.
+  void applyHeartbeat(const EndpointHeartbeat &Event, TimePoint ReceivedAt);
+  void considerCandidate(const EndpointHeartbeat &Event);
   bool isNewer(const EndpointHeartbeat &Event) const;
-  void adoptIncarnation(const EndpointHeartbeat &Event);
+  void probeCandidate();
+  void dropCandidate(std::string_view Reason);
+  /// Whether the earlier endpoint can no longer run anything.
+  bool candidateReplacesEndpoint() const;
+  void adoptCandidate();
+  TimePoint candidateWakeup() const;
+  void expireCandidate();
+  void resetEndpoint(const EndpointHeartbeat &Event);
+  void logIgnored(const EndpointHeartbeat &Event, std::string_view Reason);
+
+  // Endpoint.
   void markEndpointLost(std::string_view Cause);
   void markEndpointUnresponsive();
   void raiseToken();
@@ -147,9 +163,12 @@
   TimePoint m_Now{};
   std::vector<RunnerCommand> *m_Commands = nullptr;
 
-  // Endpoint. m_EndpointIncarnation has no id before the first heartbeat and
-  // while the endpoint is lost.
+  // Endpoint. m_EndpointIncarnation has no id before the first endpoint and
+  // while the endpoint is lost. Invariant: it has answered as this process, so
+  // an announcement alone ends no runs.
   EndpointIncarnation m_EndpointIncarnation;
+  std::optional<EndpointCandidate> m_Candidate;
+  std::uint64_t m_ProbeNumber = 0;
   std::uint64_t m_HeartbeatSequence = 0;
   TimePoint m_HeartbeatAt{};
   std::string m_Address;
--- a/src/runs/RunnerEndpoint.cpp
+++ b/src/runs/RunnerEndpoint.cpp
@@ -1,4 +1,4 @@
-// State of the endpoint in a run agent: incarnations, leases and lists of runs.
+// State of the endpoint in a run agent: its loss, leases and lists of runs.
 #include "runs/RunnerCoreImpl.h"
 
 #include <algorithm>
@@ -35,77 +35,8 @@
 /// a higher token.
 constexpr std::uint64_t TokenStep = 1'000'000;
 
-/// Whether entries may place the same runs on both endpoints, as far as their
-/// capacity allows.
-bool offersSame(const EndpointView &A, const EndpointView &B) {
-  return A.m_Service == B.m_Service && A.m_Labels == B.m_Labels &&
-         A.m_WorkerType == B.m_WorkerType &&
-         A.m_FailureDomain == B.m_FailureDomain;
-}
-
 } // namespace
 
-void RunnerCore::Impl::onEvent(const EndpointHeartbeat &Event) {
-  if (!isNewer(Event)) {
-    log("heartbeat-ignored",
-        {{"endpoint", Event.m_EndpointIncarnation.m_Id},
-         {"sequence", std::to_string(Event.m_Sequence)},
-         {"known-sequence", std::to_string(m_HeartbeatSequence)}});
-    return;
-  }
-  const bool Replaced = Event.m_EndpointIncarnation != m_EndpointIncarnation;
-  const bool NewGeneration = Replaced || !offersSame(m_View, Event.m_View);
-  const bool Changed =
-      NewGeneration || Event.m_View.m_Capacity != m_View.m_Capacity;
-  if (NewGeneration)
-    m_Generation =
-        EndpointGeneration{static_cast<std::uint64_t>(m_Generation) + 1};
-  if (Replaced)
-    adoptIncarnation(Event);
-  m_HeartbeatSequence = Event.m_Sequence;
-  m_HeartbeatAt = m_Now;
-  m_Address = Event.m_Address;
-  m_View = Event.m_View;
-  m_EndpointDraining = Event.m_View.m_State == EndpointState::Draining;
-  m_Clock.observe(m_Now, Event.m_Clock);
-  if (Changed)
-    reportEndpoint();
-  // After the report, so that entries don't place these runs here again.
-  if (NewGeneration)
-    refuseWaiting([](const WaitingRun &) { return true; },
-                  StartRefusal::OtherEndpoint);
-}
-
-bool RunnerCore::Impl::isNewer(const EndpointHeartbeat &Event) const {
-  if (Event.m_EndpointIncarnation.m_StartedAtMs ==
-      m_EndpointIncarnation.m_StartedAtMs)
-    return Event.m_Sequence > m_HeartbeatSequence;
-  return Event.m_EndpointIncarnation.m_StartedAtMs >
-         m_EndpointIncarnation.m_StartedAtMs;
-}
-
-void RunnerCore::Impl::adoptIncarnation(const EndpointHeartbeat &Event) {
-  endRunsAsLost("endpoint-restarted");
-  log("endpoint-announced",
-      {{"endpoint", Event.m_EndpointIncarnation.m_Id},
-       {"born-at-ms",
-        std::to_string(Event.m_EndpointIncarnation.m_StartedAtMs)},
-       {"generation", describe(m_Generation)},
-       {"service", Event.m_View.m_Service},
-       {"milli-cores", std::to_string(Event.m_View.m_Capacity.m_MilliCores)}});
-  m_EndpointIncarnation = Event.m_EndpointIncarnation;
-  m_Clock.reset();
-  m_Meter = EndpointMeter{};
-  m_Unresponsive = false;
-  m_EarlierRunsEnded = false;
-  m_AcknowledgedEnds = 0;
-  m_ListedEnds = 0;
-  // The answer to a hold call of the earlier incarnation does not apply to this
-  // one.
-  m_HoldPending = false;
-  m_NextHoldAt = m_Now;
-}
-
 void RunnerCore::Impl::onEvent(const EndpointGoodbye &Event) {
   if (Event.m_Id != m_EndpointIncarnation.m_Id)
     return;
@@ -206,6 +137,8 @@
   if (Event.m_StartedAtMs != m_EndpointIncarnation.m_StartedAtMs)
     return markEndpointLost("endpoint-restarted");
   m_HoldAnsweredAt = m_Now;
+  if (m_Candidate && m_Candidate->m_Confirmed)
+    dropCandidate("the present endpoint still answers");
   if (std::exchange(m_Unresponsive, false))
     log("endpoint-answers", {{"endpoint", m_EndpointIncarnation.m_Id}});
   if (Event.m_Clock)
--- a/tests/unit/FleetModel.cpp
+++ b/tests/unit/FleetModel.cpp
@@ -161,6 +161,11 @@
   }
   if (const auto *Hold = std::get_if<CallHold>(&Command))
     Endpoint.hold(*Hold, m_Now);
+  if (const auto *Probe = std::get_if<CallProbe>(&Command))
+    after(CallTime, [this, Index, Number = Probe->m_Number] {
+      feedAgent(Index, ProbeAnswered{Number, CallFault::None, false,
+                                     m_Agents[Index].m_Endpoint.startedAtMs()});
+    });
 }
 
 void FleetModel::execute(std::size_t Index, const CallStart &Start) {
--- a/tests/unit/ModelEndpoint.h
+++ b/tests/unit/ModelEndpoint.h
@@ -16,6 +16,7 @@
   explicit ModelEndpoint(std::uint32_t Cores) : m_Cores(Cores) {}
 
   EndpointHeartbeat heartbeat(TimePoint Now);
+  std::uint64_t startedAtMs() const { return m_StartedAtMs; }
   /// Ends the process; the next heartbeat is that of another endpoint.
   void replace(std::vector<std::string> Labels);
   /// Other speed and type of the worker; runs take their run time over \p
--- a/tests/unit/RunnerHarness.cpp
+++ b/tests/unit/RunnerHarness.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace cyclamencroft {
 namespace {
 
@@ -25,8 +27,19 @@
 void RunnerHarness::feed(const RunnerEvent &Event) {
   const std::size_t Before = m_Commands.size();
   m_Core.handle(m_Now, Event, m_Commands);
-  for (std::size_t Index = Before; Index < m_Commands.size(); ++Index)
+  std::optional<CallProbe> Probe;
+  for (std::size_t Index = Before; Index < m_Commands.size(); ++Index) {
     record(m_Commands[Index]);
+    if (const auto *Sent = std::get_if<CallProbe>(&m_Commands[Index]))
+      Probe = *Sent;
+  }
+  if (Probe && m_AnswersProbes)
+    answerProbe(CallFault::None, Probe->m_Call.m_Endpoint.m_StartedAtMs);
+}
+
+void RunnerHarness::answerProbe(CallFault Fault, std::uint64_t StartedAtMs) {
+  const std::uint64_t Number = commands<CallProbe>().back().m_Number;
+  feed(ProbeAnswered{Number, Fault, false, StartedAtMs});
 }
 
 void RunnerHarness::record(const RunnerCommand &Command) {
--- a/tests/unit/RunnerHarness.h
+++ b/tests/unit/RunnerHarness.h
@@ -16,7 +16,12 @@
 
   RunnerHarness();
 
+  /// Probes of announced processes are answered at once, by the announced
+  /// process unless leaveProbesUnanswered() was called.
   void feed(const RunnerEvent &Event);
+  void leaveProbesUnanswered() { m_AnswersProbes = false; }
+  /// Answers the latest probe.
+  void answerProbe(CallFault Fault, std::uint64_t StartedAtMs = 0);
   void advance(Duration Step);
   /// Advances the clock by \p Time and sends a Tick at each requested wakeup.
   void runFor(Duration Time);
@@ -76,6 +81,7 @@
   /// Number of the latest hold call; 0 for none.
   std::uint64_t m_LatestHold = 0;
   std::uint64_t m_StartedAtMs = 0;
+  bool m_AnswersProbes = true;
   EndpointGeneration m_Generation{};
 };
 
