Links of an agent are numbered, and a late hello replaces no later link

Cause: of two hellos of one agent process, the one that arrived last was taken for the newest; no hello told when its link was opened. Trace: agent-connected, then agent-out-of-reach reason="replaced by a new link" 0.7 s after the cut, run-not-done end=lost for both runs at once, and a fourth link 19 ms later. Ruled out: leases, the comparison of hello and runs, second addresses.

Change: links carry a number that grows over the links of a process and, by the time of day, from one process of a host to the next. A hello with a lower number than the accepted link's is rejected; one of another process only while there is a link or a run, for hosts whose clock was set back. Link protocol 5.

Related: the project's own entry replaced links in the same way and then took outstanding tasks for unknown; both entries now ask one function.

--- a/apps/RunAgentDaemon.cpp
+++ b/apps/RunAgentDaemon.cpp
@@ -78,6 +78,7 @@
   Options.m_AgentId = Settings.m_Id;
   Options.m_Incarnation = Incarnation{drawNumber()};
   Options.m_FencingToken = initialFencingToken();
+  Options.m_FirstLink = firstLinkNumber();
   Options.m_EndpointLease = Settings.m_EndpointLease;
   Options.m_HeartbeatTimeout =
       (MissedHeartbeats + 1) * Settings.m_HeartbeatInterval;
--- a/src/agent/AgentCore.cpp
+++ b/src/agent/AgentCore.cpp
@@ -21,8 +21,9 @@
 AgentStatusReport AgentCore::status() const { return m_Impl->status(); }
 
 AgentCore::Impl::Impl(AgentOptions Options)
-    : m_Options(std::move(Options)), m_Lease(m_Options.m_EndpointLease),
-      m_Sessions(m_Options.m_Entries), m_RandomState(m_Options.m_Seed) {
+    : m_Options(std::move(Options)), m_NextLink(m_Options.m_FirstLink),
+      m_Lease(m_Options.m_EndpointLease), m_Sessions(m_Options.m_Entries),
+      m_RandomState(m_Options.m_Seed) {
   for (EntrySession &Session : m_Sessions)
     Session.m_WindowId = m_NextWindowId++;
 }
--- a/src/agent/AgentCore.h
+++ b/src/agent/AgentCore.h
@@ -17,6 +17,7 @@
   std::string m_Rack;
   /// Number of entry addresses in the settings.
   std::uint32_t m_Entries = 1;
+  LinkNumber m_FirstLink{1};
   /// Time after which an announcement that is not renewed expires.
   Duration m_EndpointLease{std::chrono::seconds(3)};
   /// Seed of the span ids, so that a session replays exactly.
--- a/src/agent/AgentCoreImpl.h
+++ b/src/agent/AgentCoreImpl.h
@@ -123,6 +123,8 @@
   std::uint64_t drawSpanId();
 
   AgentOptions m_Options;
+  /// Number of the next link that is opened to any entry.
+  LinkNumber m_NextLink;
   /// Time of the event being handled.
   TimePoint m_Now{};
   /// Output of the current call of handle(); null outside of a call.
--- a/src/agent/AgentDaemon.cpp
+++ b/src/agent/AgentDaemon.cpp
@@ -46,6 +46,7 @@
   AgentOptions Options;
   Options.m_AgentId = Settings.m_Id;
   Options.m_Incarnation = AgentIncarnation;
+  Options.m_FirstLink = firstLinkNumber();
   Options.m_FailureDomain = Settings.m_FailureDomain;
   Options.m_Rack = Settings.m_Rack;
   Options.m_Entries = static_cast<std::uint32_t>(Settings.m_Entries.size());
--- a/src/agent/AgentLinks.cpp
+++ b/src/agent/AgentLinks.cpp
@@ -35,6 +35,7 @@
   if (Session.m_Link)
     handleLinkLoss(Session);
   Session.m_Link = Event.m_Link;
+  Session.m_LinkNumber = std::exchange(m_NextLink, next(m_NextLink));
   Session.m_LastReceived = m_Now;
   AgentHello Hello = makeHello(Session);
   if (Session.m_Entry)
@@ -169,6 +170,7 @@
   AgentHello Hello;
   Hello.m_AgentId = m_Options.m_AgentId;
   Hello.m_Incarnation = m_Options.m_Incarnation;
+  Hello.m_Link = Session.m_LinkNumber;
   Hello.m_WindowId = Session.m_WindowId;
   Hello.m_Service = Endpoint.m_Service;
   Hello.m_FailureDomain = m_Options.m_FailureDomain;
--- a/src/agent/EntrySession.h
+++ b/src/agent/EntrySession.h
@@ -32,6 +32,7 @@
   // Members that belong to the open link.
 
   std::optional<LinkId> m_Link;
+  LinkNumber m_LinkNumber{};
   std::string m_EntryId;
   /// The entry's hello has arrived; other messages are accepted only then.
   bool m_HelloReceived = false;
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -4,6 +4,7 @@
 
 #include "core/EvacuationView.h"
 #include "core/Ids.h"
+#include "core/LinkNumber.h"
 #include "core/Outcome.h"
 #include "core/Payload.h"
 #include "core/Runs.h"
@@ -19,7 +20,7 @@
 namespace cyclamencroft {
 
 /// Version of the link protocol; a peer with another version is rejected.
-constexpr std::uint32_t ProtocolVersion = 4;
+constexpr std::uint32_t ProtocolVersion = 5;
 
 /// Whether an agent accepts new work.
 enum class AgentState : std::uint8_t { Active = 0, Draining = 1 };
@@ -29,6 +30,8 @@
   std::uint32_t m_Protocol = ProtocolVersion;
   std::string m_AgentId;
   Incarnation m_Incarnation{};
+  /// Of the link that carries this hello.
+  LinkNumber m_Link{};
   /// Increases whenever the agent starts a new sequence window for this entry;
   /// an entry that receives a new id treats older dispatches as unknown.
   std::uint64_t m_WindowId = 0;
@@ -196,6 +199,8 @@
   std::uint32_t m_Protocol = ProtocolVersion;
   std::string m_AgentId;
   Incarnation m_Incarnation{};
+  /// Of the link that carries this hello.
+  LinkNumber m_Link{};
   /// Entry process to which the runs in both lists belong; zero when the agent
   /// knows none at this address.
   Incarnation m_Entry{};
--- a/src/entry/AgentRow.h
+++ b/src/entry/AgentRow.h
@@ -32,6 +32,8 @@
   ServiceIndex m_Service = NoIndex;
   /// Empty while the link is lost.
   std::optional<LinkId> m_Link;
+  /// Of the link that was accepted last.
+  LinkNumber m_LinkNumber{};
   /// Empty while no endpoint is announced or the row is dormant.
   std::optional<AgentIndex> m_Route;
   SequenceLedger m_Ledger;
--- a/src/entry/EntryAgents.cpp
+++ b/src/entry/EntryAgents.cpp
@@ -25,6 +25,10 @@
     return rejectHello(Link, Hello);
   const AgentRowIndex Index = findOrAddRow(Hello.m_AgentId);
   AgentRow &Row = m_Rows[Index];
+  if (isGivenUp({Hello.m_Incarnation, Hello.m_Link},
+                {Row.m_Incarnation, Row.m_LinkNumber},
+                Row.m_Link || Row.m_Ledger.outstanding() > 0))
+    return rejectGivenUpLink(Link, Row, Hello);
   // Closed first, so that nothing below is sent on the replaced link.
   if (Row.m_Link && *Row.m_Link != Link) {
     closeLink(*Row.m_Link, "the agent opened another link");
@@ -54,6 +58,18 @@
   dropLink(Known->second.m_Index, Reason);
 }
 
+/// Its window may be an earlier one, and no tasks are to be sent on it.
+void EntryCore::Impl::rejectGivenUpLink(LinkId Link, const AgentRow &Row,
+                                        const AgentHello &Hello) {
+  log("old-link-rejected",
+      {{"agent", Row.m_Id},
+       {"link", describe(Hello.m_Link)},
+       {"accepted", describe(Row.m_LinkNumber)},
+       {"connected", Row.m_Link ? "yes" : "no"},
+       {"in-doubt", std::to_string(Row.m_Ledger.outstanding())}});
+  closeLink(Link, "the agent has opened a later link");
+}
+
 AgentRowIndex EntryCore::Impl::findOrAddRow(const std::string &Id) {
   const auto Found = m_RowById.find(Id);
   if (Found != m_RowById.end())
@@ -85,6 +101,7 @@
   AgentRow &Row = m_Rows[Index];
   recordAgentActivity(Index);
   Row.m_Incarnation = Hello.m_Incarnation;
+  Row.m_LinkNumber = Hello.m_Link;
   Row.m_WindowId = Hello.m_WindowId;
   Row.m_State = Hello.m_State;
   Row.m_ConfigVersion = Hello.m_ConfigVersion;
--- a/src/entry/EntryCoreImpl.h
+++ b/src/entry/EntryCoreImpl.h
@@ -159,6 +159,8 @@
   // Agents (EntryAgents.cpp).
   void agentHello(LinkId Link, const AgentHello &Hello);
   void rejectHello(LinkId Link, const AgentHello &Hello);
+  void rejectGivenUpLink(LinkId Link, const AgentRow &Row,
+                         const AgentHello &Hello);
   AgentRowIndex findOrAddRow(const std::string &Id);
   void attachLink(AgentRowIndex Index, LinkId Link);
   void updateIdentity(AgentRowIndex Index, const AgentHello &Hello);
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -151,6 +151,9 @@
 
   void sendHello(RunnerRow &Row);
   RunnerIndex rowOf(const RunnerHello &Hello);
+  static bool comesFromGivenUpLink(const RunnerRow &Row,
+                                   const RunnerHello &Hello);
+  void rejectGivenUpLink(const RunnerConnected &Event, const RunnerRow &Row);
   bool comesFromOtherAddress(const RunnerRow &Row,
                              const RunnerHello &Hello) const;
   void rejectLink(LinkId Link, const RunnerRow &Row);
--- a/src/jobs/JobReconcile.cpp
+++ b/src/jobs/JobReconcile.cpp
@@ -10,11 +10,14 @@
 void JobCore::Impl::onEvent(const RunnerConnected &Event) {
   const RunnerIndex Index = rowOf(Event.m_Hello);
   RunnerRow &Row = m_Rows[Index];
+  if (comesFromGivenUpLink(Row, Event.m_Hello))
+    return rejectGivenUpLink(Event, Row);
   if (comesFromOtherAddress(Row, Event.m_Hello))
     return rejectLink(Event.m_Link, Row);
   if (Row.m_Link)
     dropRunner(Index, "replaced by a new link");
   Row.m_Link = Event.m_Link;
+  Row.m_LinkNumber = Event.m_Hello.m_Link;
   m_RowByLink[Event.m_Link] = Index;
   Row.m_StartsSent = 0;
   Row.m_UnacknowledgedStarts.clear();
@@ -34,6 +37,30 @@
   updateLoad(m_Rows[Index], Event.m_Hello.m_Load);
 }
 
+/// A hello that was held up lists the runs of an earlier time: those that have
+/// started since are not in it.
+bool JobCore::Impl::comesFromGivenUpLink(const RunnerRow &Row,
+                                         const RunnerHello &Hello) {
+  return isGivenUp({Hello.m_Incarnation, Hello.m_Link},
+                   {Row.m_Incarnation, Row.m_LinkNumber},
+                   Row.m_Link || !Row.m_Runs.empty());
+}
+
+void JobCore::Impl::rejectGivenUpLink(const RunnerConnected &Event,
+                                      const RunnerRow &Row) {
+  const RunnerHello &Hello = Event.m_Hello;
+  log("old-link-rejected",
+      {{"agent", Row.m_AgentId},
+       {"link", describe(Hello.m_Link)},
+       {"accepted", describe(Row.m_LinkNumber)},
+       {"same-process",
+        Hello.m_Incarnation == Row.m_Incarnation ? "yes" : "no"},
+       {"connected", Row.m_Link ? "yes" : "no"},
+       {"runs", std::to_string(Row.m_Runs.size())}});
+  m_Commands->emplace_back(
+      CloseLink{Event.m_Link, "the agent has opened a later link"});
+}
+
 /// An agent knows at each address which entry process it has met there. If it
 /// has met this one at another address only, the runs that it holds for that
 /// address are not in the hello, and may go on until their leases expire.
--- a/src/jobs/RunnerRow.h
+++ b/src/jobs/RunnerRow.h
@@ -33,6 +33,8 @@
   std::string m_AgentId;
   Incarnation m_Incarnation{};
   std::optional<LinkId> m_Link;
+  /// Of the link that was accepted last.
+  LinkNumber m_LinkNumber{};
   EndpointView m_Endpoint;
   EndpointLoad m_Load;
   TimePoint m_LoadAt{};
--- a/src/link/MessageFields.h
+++ b/src/link/MessageFields.h
@@ -22,6 +22,7 @@
     m_Visit("protocol", Message.m_Protocol);
     m_Visit("agent id", Message.m_AgentId);
     m_Visit("incarnation", Message.m_Incarnation);
+    m_Visit("link", Message.m_Link);
     m_Visit("window id", Message.m_WindowId);
     m_Visit("service", Message.m_Service);
     m_Visit("failure domain", Message.m_FailureDomain);
@@ -119,6 +120,7 @@
     m_Visit("protocol", Message.m_Protocol);
     m_Visit("agent id", Message.m_AgentId);
     m_Visit("incarnation", Message.m_Incarnation);
+    m_Visit("link", Message.m_Link);
     m_Visit("entry", Message.m_Entry);
     m_Visit("held", Message.m_Held);
     m_Visit("ended", Message.m_Ended);
--- a/src/runs/RunnerCore.cpp
+++ b/src/runs/RunnerCore.cpp
@@ -22,7 +22,8 @@
 RunnerStatus RunnerCore::status() const { return m_Impl->status(); }
 
 RunnerCore::Impl::Impl(RunnerOptions Options)
-    : m_Options(std::move(Options)), m_Clock(m_Options.m_EndpointLease) {}
+    : m_Options(std::move(Options)), m_NextLink(m_Options.m_FirstLink),
+      m_Clock(m_Options.m_EndpointLease) {}
 
 // Timers run before the event. If the process was suspended, this ensures that
 // no event is handled under a lease that has expired in the meantime.
--- a/src/runs/RunnerCore.h
+++ b/src/runs/RunnerCore.h
@@ -16,6 +16,7 @@
   Incarnation m_Incarnation{};
   /// Higher than the token of any earlier agent process of the same endpoint.
   std::uint64_t m_FencingToken = 1;
+  LinkNumber m_FirstLink{1};
   /// Longest lease that the endpoint grants.
   Duration m_EndpointLease{std::chrono::seconds(1)};
   /// An idle endpoint is treated as lost after this time without a heartbeat.
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -160,6 +160,8 @@
   EndpointLoad load(const EntryLink &Receiver) const;
 
   RunnerOptions m_Options;
+  /// Number of the next link that is opened to any entry.
+  LinkNumber m_NextLink;
   TimePoint m_Now{};
   std::vector<RunnerCommand> *m_Commands = nullptr;
 
--- a/src/runs/RunnerLinks.cpp
+++ b/src/runs/RunnerLinks.cpp
@@ -43,6 +43,7 @@
   RunnerHello Hello;
   Hello.m_AgentId = m_Options.m_AgentId;
   Hello.m_Incarnation = m_Options.m_Incarnation;
+  Hello.m_Link = std::exchange(m_NextLink, next(m_NextLink));
   Hello.m_Entry = Link.m_Entry;
   for (const auto &[Name, Each] : m_Runs)
     if (Each.m_Owner == &Link)
--- a/tests/session/Session.cpp
+++ b/tests/session/Session.cpp
@@ -106,6 +106,9 @@
   AgentOptions Options;
   Options.m_AgentId = Name;
   Options.m_Incarnation = Incarnation{m_NextIncarnation++};
+  // Later processes have later times of day.
+  constexpr std::uint64_t LinksPerProcess = 1'000'000;
+  Options.m_FirstLink = LinkNumber{m_NextIncarnation * LinksPerProcess};
   Options.m_FailureDomain = Domains[Rack % Domains.size()];
   Options.m_Rack = "rack" + std::to_string(Rack + 1);
   Options.m_Entries = m_Layout.m_Entries;
--- a/tests/unit/EntryAgentsTest.cpp
+++ b/tests/unit/EntryAgentsTest.cpp
@@ -33,6 +33,32 @@
   BOOST_TEST(m_Entry.status().m_Agents == 0U);
 }
 
+// Guards against tasks that are given up, or started again, because a hello
+// that the network had held up replaces a link that was opened after it.
+BOOST_AUTO_TEST_CASE(AHelloOfAnEarlierLinkDoesNotReplaceALaterOne) {
+  AgentHello Later = EntryHarness::hello("a");
+  Later.m_Link = LinkNumber{9};
+  Later.m_WindowId = 2;
+  const LinkId Present = m_Entry.connect(Later);
+  m_Entry.submit(1, true);
+  AgentHello HeldUp = Later;
+  HeldUp.m_Link = LinkNumber{8};
+  HeldUp.m_WindowId = 1;
+  for (const Incarnation Process : {Later.m_Incarnation, Incarnation{4}}) {
+    HeldUp.m_Incarnation = Process;
+    const LinkId Old = m_Entry.connect(HeldUp);
+    const auto Closed = m_Entry.take<CloseLink>();
+    BOOST_REQUIRE(Closed.size() == 1U);
+    BOOST_TEST((Closed[0].m_Link == Old));
+    BOOST_TEST(m_Entry.logged("old-link-rejected"));
+  }
+  BOOST_TEST(m_Entry.take<AnswerRequest>().empty());
+  m_Entry.finish(Present, 1);
+  const auto Answers = m_Entry.take<AnswerRequest>();
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_TEST((Answers[0].m_Outcome == Outcome::Completed));
+}
+
 // Guards against dispatching to an unresponsive agent, and against excluding an
 // agent after it has resumed.
 BOOST_AUTO_TEST_CASE(SilentAgentIsPingedSuspectedAndReadmitted) {
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -66,6 +66,7 @@
       RunnerHello{ProtocolVersion,
                   "agent-2",
                   Incarnation(Large),
+                  LinkNumber{Large},
                   Incarnation(8),
                   {Run},
                   {Ended},
--- a/tests/unit/RunnerLinkTest.cpp
+++ b/tests/unit/RunnerLinkTest.cpp
@@ -146,6 +146,19 @@
   BOOST_TEST((Hellos[0].m_Ended[0].m_Run == runNamed(0)));
 }
 
+// Guards against an entry that can't tell a hello that was held up from that of
+// a later link, whichever entry it leads to.
+BOOST_AUTO_TEST_CASE(LaterLinksHaveHigherNumbers) {
+  feed(RunnerLinkOpened{LinkId{8}, "127.0.0.1:80"});
+  feed(RunnerLinkOpened{LinkId{9}, "127.0.0.1:81"});
+  feed(LinkClosed{LinkId{8}});
+  feed(RunnerLinkOpened{LinkId{10}, "127.0.0.1:80"});
+  const auto Hellos = messages<RunnerHello>();
+  BOOST_REQUIRE(Hellos.size() == 3);
+  BOOST_TEST((Hellos[0].m_Link < Hellos[1].m_Link));
+  BOOST_TEST((Hellos[1].m_Link < Hellos[2].m_Link));
+}
+
 // Guards against a job whose caller gets no answer although its work is done: a
 // run that ends after the agent's hello and before the entry's is in neither
 // list of the hello.
