--- a/src/core/Size.h
+++ b/src/core/Size.h
@@ -26,10 +26,11 @@
            Need.m_Accelerators <= m_Accelerators;
   }
 
+  /// Saturates at UINT32_MAX in each dimension.
   Size &operator+=(const Size &Other) {
-    m_MilliCores += Other.m_MilliCores;
-    m_MemoryMiB += Other.m_MemoryMiB;
-    m_Accelerators += Other.m_Accelerators;
+    m_MilliCores = sum(m_MilliCores, Other.m_MilliCores);
+    m_MemoryMiB = sum(m_MemoryMiB, Other.m_MemoryMiB);
+    m_Accelerators = sum(m_Accelerators, Other.m_Accelerators);
     return *this;
   }
 
@@ -50,6 +51,9 @@
   friend Size operator-(Size A, const Size &B) { return A -= B; }
 
 private:
+  static std::uint32_t sum(std::uint32_t A, std::uint32_t B) {
+    return B > UINT32_MAX - A ? UINT32_MAX : A + B;
+  }
   static std::uint32_t minimum(std::uint32_t A, std::uint32_t B) {
     return A < B ? A : B;
   }
--- a/src/jobs/JobAdmission.cpp
+++ b/src/jobs/JobAdmission.cpp
@@ -23,7 +23,8 @@
   for (std::size_t Number = 0; Number < Job.m_Steps.size(); ++Number) {
     const StepDeclaration &Step = Job.m_Declaration.m_Steps[Number];
     Work += WorkAmount(Job.m_Steps[Number].m_Waiting) *
-            Step.m_Need.m_MilliCores * Step.m_Estimate.count();
+            Step.m_Need.m_MilliCores *
+            static_cast<WorkAmount>(Step.m_Estimate.count());
   }
   return Work;
 }
--- a/src/jobs/JobCoreImpl.h
+++ b/src/jobs/JobCoreImpl.h
@@ -145,7 +145,7 @@
   void adoptEvacuations(const EvacuationView &View, std::string_view Source);
   void markEvacuated(RunnerRow &Row);
   /// Cores in use that other runs can use once these have ended.
-  std::uint32_t reusableMilliCores() const;
+  std::uint64_t reusableMilliCores() const;
   /// Refuses the waiting jobs with a task that only evacuated endpoints hold.
   void refuseUnplaceable();
 
@@ -211,7 +211,7 @@
   WaitForecast m_Forecast;
   RepeatEstimate m_Repeats;
   /// Invariant: sum over the runs of all rows.
-  std::uint32_t m_MilliCoresInUse = 0;
+  std::uint64_t m_MilliCoresInUse = 0;
   /// Capacity may have become free or work may have been added since the last
   /// dispatch().
   bool m_DispatchNeeded = false;
--- a/src/jobs/JobDispatch.cpp
+++ b/src/jobs/JobDispatch.cpp
@@ -160,8 +160,9 @@
       {++Row.m_StartsSent, Declared.m_Need, m_Now});
   Row.m_LeaseSentAt = m_Now;
   Row.m_AnswerAwaitedSince = std::min(Row.m_AnswerAwaitedSince, m_Now);
-  m_Forecast.recordStart(m_Now, WorkAmount(Declared.m_Need.m_MilliCores) *
-                                    Declared.m_Estimate.count());
+  m_Forecast.recordStart(
+      m_Now, WorkAmount(Declared.m_Need.m_MilliCores) *
+                 static_cast<WorkAmount>(Declared.m_Estimate.count()));
   const Duration StartWithin =
       Job.m_OrderKey.m_Late ? Duration(-1) : Job.m_Times.m_LatestStart - m_Now;
   send(Row, StartTask{Run, Row.m_Endpoint.m_Generation, Declared.m_Need, m_Now,
--- a/src/jobs/JobEvacuation.cpp
+++ b/src/jobs/JobEvacuation.cpp
@@ -48,8 +48,8 @@
       m_Evacuations.contains(Row.m_Endpoint.m_FailureDomain);
 }
 
-std::uint32_t JobCore::Impl::reusableMilliCores() const {
-  std::uint32_t MilliCores = m_MilliCoresInUse;
+std::uint64_t JobCore::Impl::reusableMilliCores() const {
+  std::uint64_t MilliCores = m_MilliCoresInUse;
   for (const RunnerRow &Row : m_Rows)
     if (Row.isEvacuated())
       for (const auto &[Name, Run] : Row.m_Runs)
--- a/src/jobs/WaitForecast.cpp
+++ b/src/jobs/WaitForecast.cpp
@@ -14,7 +14,7 @@
 
 void WaitForecast::recordStart(TimePoint Now, WorkAmount Work) {
   decay(Now);
-  m_RecentWork += static_cast<double>(Work);
+  m_RecentWork += Work;
 }
 
 void WaitForecast::scaleRate(std::uint64_t After, std::uint64_t Before) {
@@ -23,15 +23,16 @@
 }
 
 Duration WaitForecast::waitFor(TimePoint Now, WorkAmount Ahead,
-                               std::uint32_t MilliCoresInUse) {
+                               std::uint64_t MilliCoresInUse) {
   /// Upper bound of the forecast: longer waits make no difference to a caller.
   constexpr Duration MaxWait = std::chrono::seconds(10);
   if (Ahead <= 0)
     return Duration{};
   decay(Now);
-  const double Rate = std::max<double>(
-      m_RecentWork / static_cast<double>(Window.count()), MilliCoresInUse);
-  const double Wait = static_cast<double>(Ahead) / std::max(Rate, 1.0);
+  const double Rate =
+      std::max(m_RecentWork / static_cast<double>(Window.count()),
+               static_cast<double>(MilliCoresInUse));
+  const double Wait = Ahead / std::max(Rate, 1.0);
   const auto MaxCount = static_cast<double>(MaxWait.count());
   return Duration(static_cast<Duration::rep>(std::min(Wait, MaxCount)));
 }
--- a/src/jobs/WaitForecast.h
+++ b/src/jobs/WaitForecast.h
@@ -10,8 +10,9 @@
 
 namespace cyclamencroft {
 
-/// Work in milli-cores times microseconds.
-using WorkAmount = std::int64_t;
+/// Work in milli-cores times microseconds. Callers declare sizes and times
+/// whose product no integer type holds.
+using WorkAmount = double;
 
 class WaitForecast {
 public:
@@ -26,7 +27,7 @@
   /// rate at which \p MilliCoresInUse complete work, whichever is higher: after
   /// a period of low load the first is too low. At most 10 s.
   Duration waitFor(TimePoint Now, WorkAmount Ahead,
-                   std::uint32_t MilliCoresInUse);
+                   std::uint64_t MilliCoresInUse);
 
 private:
   /// Time constant of the decay, so that the rate covers the starts of several
--- a/src/runs/RunnerRuns.cpp
+++ b/src/runs/RunnerRuns.cpp
@@ -74,11 +74,12 @@
     return StartRefusal::Superseded;
   if (m_Waiting.contains(Message.m_Run.m_Task))
     return StartRefusal::Superseded;
-  Size Allowed = m_View.m_Capacity;
-  Allowed.m_MilliCores += Allowed.m_MilliCores / QueueCapacityDivisor;
-  Allowed.m_MemoryMiB += Allowed.m_MemoryMiB / QueueCapacityDivisor;
+  const Size &Capacity = m_View.m_Capacity;
+  const Size Allowed =
+      Capacity + Size{Capacity.m_MilliCores / QueueCapacityDivisor,
+                      Capacity.m_MemoryMiB / QueueCapacityDivisor, 0};
   const bool Fits =
-      m_View.m_Capacity.holds(Message.m_Need) &&
+      Capacity.holds(Message.m_Need) &&
       Allowed.holds(m_Reserved + m_Waiting.size() + Message.m_Need);
   return Fits ? StartRefusal::None : StartRefusal::NoCapacity;
 }
--- a/tests/unit/JobPlacementTest.cpp
+++ b/tests/unit/JobPlacementTest.cpp
@@ -22,6 +22,30 @@
     BOOST_TEST(runsAt(Agent).size() == 5U);
 }
 
+// Guards against a sum of sizes that overflows, so that a task which no
+// endpoint holds seems to fit beside others. The job comes before the first
+// endpoint.
+BOOST_AUTO_TEST_CASE(ATaskOfTheLargestSizeIsNeverStarted) {
+  for (const Size &Need :
+       {Size{UINT32_MAX, 0, 0}, Size{0, UINT32_MAX, 0}, Size{0, 0, UINT32_MAX},
+        Size{UINT32_MAX - 10, UINT32_MAX - 10, UINT32_MAX - 10}}) {
+    JobHarness Harness;
+    JobOffered Hopeless = Harness.offer(1, 1);
+    Hopeless.m_Job.m_Steps[0].m_Need = Need;
+    Harness.feed(Hopeless);
+    RunnerHello Busy = Harness.hello(1, 10, Incarnation{1});
+    Busy.m_Load.m_Reserved = {100, 64, 11};
+    Harness.feed(RunnerConnected{LinkId{1}, Busy});
+    Harness.runFor(100ms);
+    BOOST_TEST(Harness.messagesTo<StartTask>(1).empty());
+    Hopeless.m_Caller = CallerId{77};
+    Hopeless.m_Job.m_Id = JobId{2};
+    Harness.feed(Hopeless);
+    BOOST_REQUIRE(!Harness.answers().empty());
+    BOOST_TEST((Harness.answers().back().m_Outcome == JobOutcome::NotRun));
+  }
+}
+
 // Guards against an agent that can't tell whether a start was placed on its
 // present endpoint, and against avoiding an agent whose endpoint is a new one.
 BOOST_AUTO_TEST_CASE(AStartNamesTheEndpointThatTheAgentReportedLast) {
