--- a/src/runs/RunnerAnnouncements.cpp
+++ b/src/runs/RunnerAnnouncements.cpp
@@ -33,18 +33,21 @@
   if (Event.m_Sequence <= m_HeartbeatSequence)
     return logIgnored(Event, "old");
   const bool NewGeneration = !offersSame(m_View, Event.m_View);
-  const bool Changed =
-      NewGeneration || Event.m_View.m_Capacity != m_View.m_Capacity;
-  if (NewGeneration)
-    m_Generation =
-        EndpointGeneration{static_cast<std::uint64_t>(m_Generation) + 1};
+  const bool Changed = Event.m_View.m_Capacity != m_View.m_Capacity;
   applyHeartbeat(Event, m_Now);
-  if (Changed)
+  if (NewGeneration)
+    beginGeneration();
+  else if (Changed)
     reportEndpoint();
+}
+
+void RunnerCore::Impl::beginGeneration() {
+  m_Generation =
+      EndpointGeneration{static_cast<std::uint64_t>(m_Generation) + 1};
+  reportEndpoint();
   // After the report, so that entries don't place these runs here again.
-  if (NewGeneration)
-    refuseWaiting([](const WaitingRun &) { return true; },
-                  StartRefusal::OtherEndpoint);
+  refuseWaiting([](const WaitingRun &) { return true; },
+                StartRefusal::OtherEndpoint);
 }
 
 void RunnerCore::Impl::applyHeartbeat(const EndpointHeartbeat &Event,
@@ -157,26 +160,20 @@
 
 void RunnerCore::Impl::adoptCandidate() {
   const EndpointCandidate Adopted = *std::exchange(m_Candidate, std::nullopt);
-  m_Generation =
-      EndpointGeneration{static_cast<std::uint64_t>(m_Generation) + 1};
-  resetEndpoint(Adopted.m_Heartbeat);
+  resetEndpoint(Adopted.m_Heartbeat.m_EndpointIncarnation);
   applyHeartbeat(Adopted.m_Heartbeat, Adopted.m_ReceivedAt);
-  reportEndpoint();
-  // After the report, so that entries don't place these runs here again.
-  refuseWaiting([](const WaitingRun &) { return true; },
-                StartRefusal::OtherEndpoint);
+  beginGeneration();
+  log("endpoint-announced",
+      {{"endpoint", m_EndpointIncarnation.m_Id},
+       {"born-at-ms", std::to_string(m_EndpointIncarnation.m_StartedAtMs)},
+       {"generation", describe(m_Generation)},
+       {"service", m_View.m_Service},
+       {"milli-cores", std::to_string(m_View.m_Capacity.m_MilliCores)}});
 }
 
-void RunnerCore::Impl::resetEndpoint(const EndpointHeartbeat &Event) {
+void RunnerCore::Impl::resetEndpoint(const EndpointIncarnation &Next) {
   endRunsAsLost("endpoint-restarted");
-  log("endpoint-announced",
-      {{"endpoint", Event.m_EndpointIncarnation.m_Id},
-       {"born-at-ms",
-        std::to_string(Event.m_EndpointIncarnation.m_StartedAtMs)},
-       {"generation", describe(m_Generation)},
-       {"service", Event.m_View.m_Service},
-       {"milli-cores", std::to_string(Event.m_View.m_Capacity.m_MilliCores)}});
-  m_EndpointIncarnation = Event.m_EndpointIncarnation;
+  m_EndpointIncarnation = Next;
   m_Clock.reset();
   m_Meter = EndpointMeter{};
   m_Unresponsive = false;
--- a/src/runs/RunnerCoreImpl.h
+++ b/src/runs/RunnerCoreImpl.h
@@ -132,6 +132,8 @@
 
   // Announcements.
   void applyHeartbeat(const EndpointHeartbeat &Event, TimePoint ReceivedAt);
+  /// Entries have to place runs anew, on the endpoint as it is now.
+  void beginGeneration();
   void considerCandidate(const EndpointHeartbeat &Event);
   bool isNewer(const EndpointHeartbeat &Event) const;
   void probeCandidate();
@@ -141,7 +143,7 @@
   void adoptCandidate();
   TimePoint candidateWakeup() const;
   void expireCandidate();
-  void resetEndpoint(const EndpointHeartbeat &Event);
+  void resetEndpoint(const EndpointIncarnation &Next);
   void logIgnored(const EndpointHeartbeat &Event, std::string_view Reason);
 
   // Endpoint.
