--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::uint32_t FaultsPerEvacuation = 6;
 
+constexpr std::uint32_t FaultsPerForeignAnnouncement = 4;
+
 constexpr std::array<const char *, 7> LinkModes = {
     R"({"mode":"cut"})",
     R"({"mode":"reset"})",
@@ -89,10 +91,17 @@
 }
 
 std::string text(const EndpointFault &Each) {
-  constexpr std::array<const char *, 9> Names = {
-      "crashes",         "is unresponsive", "fails all",
-      "hangs",           "is slow",         "delays commands",
-      "loses responses", "is replaced",     "has a higher token"};
+  constexpr std::array<const char *, 10> Names = {
+      "crashes",
+      "is unresponsive",
+      "fails all",
+      "hangs",
+      "is slow",
+      "delays commands",
+      "loses responses",
+      "is replaced",
+      "has a higher token",
+      "is announced by other writers"};
   return "endpoint " + std::to_string(Each.m_Target) + " " +
          Names.at(static_cast<std::size_t>(Each.m_Type));
 }
@@ -156,6 +165,13 @@
     Generated.m_Kind = Evacuation{Random.below(Settings.m_Domains)};
     Plan.push_back(Generated);
   }
+  for (std::uint32_t Number = 0; Number < Count / FaultsPerForeignAnnouncement;
+       ++Number) {
+    Fault Generated = faultAtRandomTime(Random, Settings);
+    Generated.m_Kind = EndpointFault{Random.below(Settings.m_Endpoints),
+                                     EndpointFault::Type::ForeignAnnouncements};
+    Plan.push_back(Generated);
+  }
   std::stable_sort(
       Plan.begin(), Plan.end(),
       [](const Fault &A, const Fault &B) { return A.m_At < B.m_At; });
--- a/tests/soak/Faults.h
+++ b/tests/soak/Faults.h
@@ -54,6 +54,7 @@
     LostResponses,
     Replace,   ///< Drains and deregisters; another instance starts.
     TokenJump, ///< As if an earlier agent process used a higher token.
+    ForeignAnnouncements, ///< Its agent gets heartbeats of other writers.
   };
   std::uint32_t m_Target = 0;
   Type m_Type = Type::Crash;
--- a/tests/soak/LeasedEndpoint.cpp
+++ b/tests/soak/LeasedEndpoint.cpp
@@ -28,6 +28,8 @@
 constexpr Duration FailureDelay = milliseconds(5);
 /// How far the token of an earlier agent process was ahead.
 constexpr std::uint64_t TokenJump = 3'000'000;
+/// How much later than the endpoint a process that does not exist has started.
+constexpr std::uint64_t ForeignStartLeadMs = 3'600'000;
 
 const char *runEndName(RunEnd End) {
   switch (End) {
@@ -114,6 +116,8 @@
     crash();
   if (Added == Type::TokenJump)
     m_Token += TokenJump;
+  if (Added == Type::ForeignAnnouncements)
+    sendForeignAnnouncements();
 }
 
 void LeasedEndpoint::end(Type Removed) {
@@ -122,8 +126,7 @@
     HttpCall Goodbye;
     Goodbye.m_Address = m_Options.m_AgentAddress;
     Goodbye.m_Method = "DELETE";
-    Goodbye.m_Target = "/-/instances/" + m_Options.m_Name + '-' +
-                       std::to_string(m_InstanceNumber);
+    Goodbye.m_Target = "/-/instances/" + id();
     m_Heartbeats.call(std::move(Goodbye), [](const HttpOutcome &) {});
     crash();
   }
@@ -158,8 +161,7 @@
   if (!Answered)
     m_Unanswered.push_back(Exchange);
   const HttpRequest &Request = Exchange->request();
-  const std::string Id =
-      m_Options.m_Name + '-' + std::to_string(m_InstanceNumber);
+  const std::string Id = id();
   const json Command = json::parse(Request.body(), nullptr, false);
   const std::string Path = requestPath(Request);
   HttpResponse Response;
@@ -319,6 +321,60 @@
   });
 }
 
+std::string LeasedEndpoint::id() const {
+  return m_Options.m_Name + '-' + std::to_string(m_InstanceNumber);
+}
+
+HttpCall LeasedEndpoint::announcementCall(const std::string &Id,
+                                          const json &Body) const {
+  HttpCall Call;
+  Call.m_Address = m_Options.m_AgentAddress;
+  Call.m_Method = "PUT";
+  Call.m_Target = "/-/instances/" + Id;
+  Call.m_Headers.emplace_back("Content-Type", "application/json");
+  Call.m_Timeout = std::chrono::seconds(1);
+  Call.m_Body = Body.dump();
+  return Call;
+}
+
+json LeasedEndpoint::heartbeat() const {
+  return {{"service", m_Options.m_Service},
+          {"address", m_Options.m_Listen},
+          {"zone", m_Options.m_FailureDomain},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", isActive(Type::Replace) ? "draining" : "ready"},
+          {"cold_remaining_ms", 0},
+          {"room",
+           {{"cpu", m_Options.m_Capacity.m_MilliCores},
+            {"mem_mb", m_Options.m_Capacity.m_MemoryMiB},
+            {"gpu", 0}}},
+          {"labels", {"a", "r1"}},
+          {"clock_ms", clock()},
+          {"born", m_StartedAtMs},
+          {"sequence", m_Sequence}};
+}
+
+/// An unknown endpoint, a next process at the endpoint's address, and the
+/// present process at another address; none of them exists.
+void LeasedEndpoint::sendForeignAnnouncements() {
+  const std::string &Listen = m_Options.m_Listen;
+  const std::string Elsewhere = Listen.substr(0, Listen.rfind(':')) + ":1";
+  json Unknown = heartbeat();
+  Unknown["service"] = "archive";
+  Unknown["address"] = Elsewhere;
+  Unknown["born"] = m_StartedAtMs + ForeignStartLeadMs;
+  json Next = heartbeat();
+  Next["born"] = m_StartedAtMs + ForeignStartLeadMs;
+  json Moved = heartbeat();
+  Moved["address"] = Elsewhere;
+  Moved["sequence"] = m_Sequence + 1;
+  const auto Ignored = [](const HttpOutcome &) {};
+  m_Heartbeats.call(announcementCall("foreign", Unknown), Ignored);
+  m_Heartbeats.call(announcementCall(id(), Next), Ignored);
+  m_Heartbeats.call(announcementCall(id(), Moved), Ignored);
+}
+
 void LeasedEndpoint::sendHeartbeat() {
   m_HeartbeatTimer.expires_after(m_Options.m_HeartbeatInterval);
   m_HeartbeatTimer.async_wait(
@@ -329,31 +385,9 @@
   if (isActive(Type::Unresponsive))
     return;
   const bool Drains = isActive(Type::Replace);
-  HttpCall Beat;
-  Beat.m_Address = m_Options.m_AgentAddress;
-  Beat.m_Method = "PUT";
-  Beat.m_Target = "/-/instances/" + m_Options.m_Name + '-' +
-                  std::to_string(m_InstanceNumber);
-  Beat.m_Headers.emplace_back("Content-Type", "application/json");
-  Beat.m_Timeout = std::chrono::seconds(1);
-  Beat.m_Body = json{{"service", m_Options.m_Service},
-                     {"address", m_Options.m_Listen},
-                     {"zone", m_Options.m_FailureDomain},
-                     {"version", "v1"},
-                     {"slots", 8},
-                     {"state", Drains ? "draining" : "ready"},
-                     {"cold_remaining_ms", 0},
-                     {"room",
-                      {{"cpu", m_Options.m_Capacity.m_MilliCores},
-                       {"mem_mb", m_Options.m_Capacity.m_MemoryMiB},
-                       {"gpu", 0}}},
-                     {"labels", {"a", "r1"}},
-                     {"clock_ms", clock()},
-                     {"born", m_StartedAtMs},
-                     {"sequence", ++m_Sequence}}
-                    .dump();
+  ++m_Sequence;
   m_Heartbeats.call(
-      std::move(Beat),
+      announcementCall(id(), heartbeat()),
       [this, Drains, Incarnation = m_Incarnation](const HttpOutcome &Out) {
         const auto *Response = std::get_if<HttpResponse>(&Out);
         const bool Taken = Response && Response->m_Status == 200;
--- a/tests/soak/LeasedEndpoint.h
+++ b/tests/soak/LeasedEndpoint.h
@@ -106,7 +106,13 @@
   void checkLease();
   void restartAfterPause(bool NewId);
   void answerHolds();
+  /// Id of the present instance.
+  std::string id() const;
+  HttpCall announcementCall(const std::string &Id,
+                            const nlohmann::json &Body) const;
+  nlohmann::json heartbeat() const;
   void sendHeartbeat();
+  void sendForeignAnnouncements();
   void runLater(Duration Time, std::function<void()> Step);
 
   boost::asio::io_context &m_Io;
